--- /dev/null
+++ b/internal/core/fault/error.go
@@ -0,0 +1,109 @@
+package fault
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// Header names of a refusal.
+const (
+	KindHeader = "Lavenderrill-Kind"
+	RunHeader  = "Lavenderrill-Run"
+)
+
+// Error is an error with a kind and a run state.
+type Error struct {
+	Kind   Kind
+	Run    Run
+	Reason string
+	Err    error // cause, may be nil
+}
+
+// New returns an error of kind k with the default run state of k.
+func New(k Kind, reason string) *Error {
+	return &Error{Kind: k, Run: AnswerOf(k).Run, Reason: reason}
+}
+
+// Newf is New with a formatted reason. A %w verb sets the cause.
+func Newf(k Kind, format string, args ...any) *Error {
+	err := fmt.Errorf(format, args...)
+	e := New(k, err.Error())
+	e.Err = errors.Unwrap(err)
+	return e
+}
+
+// WithRun returns a copy of e with run state r.
+func (e *Error) WithRun(r Run) *Error {
+	c := *e
+	c.Run = r
+	return &c
+}
+
+// Error implements error.
+func (e *Error) Error() string { return string(e.Kind) + ": " + e.Reason }
+
+// Unwrap returns the cause of e.
+func (e *Error) Unwrap() error { return e.Err }
+
+// From returns the *Error in the chain of err, or an Internal one that wraps
+// err. From returns nil if err is nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	n := New(Internal, err.Error())
+	n.Err = err
+	return n
+}
+
+// Is reports whether the chain of err holds an *Error of kind k.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
+
+// Body is the JSON body of a refusal.
+type Body struct {
+	Kind    Kind           `json:"kind"`
+	Reason  string         `json:"reason"`
+	Run     Run            `json:"run"`
+	Request mesh.RequestID `json:"request,omitempty"`
+}
+
+// Write answers a request with e. It must be called before any other part of
+// the answer is written. Errors of the connection are ignored, since the peer
+// that would be told is the one that went away.
+func Write(w http.ResponseWriter, e *Error, id mesh.RequestID) {
+	h := w.Header()
+	h.Set(KindHeader, string(e.Kind))
+	h.Set(RunHeader, string(e.Run))
+	h.Set("Content-Type", "application/json")
+	w.WriteHeader(AnswerOf(e.Kind).Status)
+	b, err := json.Marshal(Body{Kind: e.Kind, Reason: e.Reason, Run: e.Run, Request: id})
+	if err != nil {
+		return
+	}
+	_, _ = w.Write(append(b, '\n'))
+}
+
+// FromHeader returns the refusal that an answer of another node carries, or nil
+// if the answer is not a refusal.
+func FromHeader(h http.Header) *Error {
+	k := Kind(h.Get(KindHeader))
+	if k == "" {
+		return nil
+	}
+	e := New(k, "refused by peer")
+	if Run(h.Get(RunHeader)) != NotRun {
+		e.Run = Unknown
+	}
+	return e
+}
--- /dev/null
+++ b/internal/core/fault/fault_test.go
@@ -0,0 +1,34 @@
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestWriteRoundTrip guards against a refusal that loses its kind or its run
+// state between two nodes.
+func TestWriteRoundTrip(t *testing.T) {
+	for _, k := range Kinds() {
+		w := httptest.NewRecorder()
+		Write(w, New(k, "reason"), "r1")
+		require.Equal(t, AnswerOf(k).Status, w.Code, k)
+		got := FromHeader(w.Header())
+		require.Equal(t, k, got.Kind)
+		require.Equal(t, AnswerOf(k).Run, got.Run)
+	}
+}
+
+// TestFromKeepsKind guards against a wrapped error that is answered as
+// internal instead of by its own kind.
+func TestFromKeepsKind(t *testing.T) {
+	err := fmt.Errorf("accept: %w", Newf(PlatformUnavailable, "table: %w", io.ErrUnexpectedEOF))
+	require.True(t, Is(err, PlatformUnavailable))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, Internal, From(errors.New("x")).Kind)
+	require.Nil(t, From(nil))
+}
--- /dev/null
+++ b/internal/metric/doc.go
@@ -0,0 +1,5 @@
+// Package metric keeps the counters of one node on top of expvar.
+//
+// Several nodes can run in one process, so a Registry is not published in the
+// process-wide expvar table; its Handler serves it as /debug/vars.
+package metric
--- /dev/null
+++ b/internal/metric/registry.go
@@ -0,0 +1,76 @@
+package metric
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+)
+
+// Registry holds the counters and gauges of one node. Its zero value is not
+// usable; call New.
+type Registry struct {
+	mu   sync.Mutex
+	vars *expvar.Map
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{vars: new(expvar.Map).Init()}
+}
+
+// Counter returns the counter of the given name and creates it if needed.
+// Names are lower-case words joined by underscores. Counter panics if the name
+// is in use for another type.
+func (r *Registry) Counter(name string) *expvar.Int {
+	return lookup(r, name, func() *expvar.Int { return new(expvar.Int) })
+}
+
+// ByReason returns the group of counters of the given name, one per reason.
+// Add a reason's count with Add(reason, 1). ByReason panics if the name is in
+// use for another type.
+func (r *Registry) ByReason(name string) *expvar.Map {
+	return lookup(r, name, func() *expvar.Map { return new(expvar.Map).Init() })
+}
+
+// Gauge registers f as the current value of name. The value must be
+// representable as JSON. A later Gauge of the same name replaces the earlier.
+func (r *Registry) Gauge(name string, f func() any) {
+	r.vars.Set(name, expvar.Func(f))
+}
+
+// InvariantBroken counts one violation of the named invariant. Any count other
+// than zero is a fault in the program.
+func (r *Registry) InvariantBroken(name string) {
+	r.ByReason("invariant_broken").Add(name, 1)
+}
+
+// Handler serves the registry and the runtime's memory figures as JSON.
+func (r *Registry) Handler() http.Handler {
+	r.Gauge("goroutines", func() any { return runtime.NumGoroutine() })
+	r.Gauge("memory", func() any {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return map[string]uint64{"heap_alloc": m.HeapAlloc, "heap_sys": m.HeapSys, "sys": m.Sys, "total_alloc": m.TotalAlloc}
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = fmt.Fprintln(w, r.vars.String())
+	})
+}
+
+func lookup[V expvar.Var](r *Registry, name string, create func() V) V {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.vars.Get(name); v != nil {
+		t, ok := v.(V)
+		if !ok {
+			panic(fmt.Sprintf("metric: %q is registered with type %T", name, v))
+		}
+		return t
+	}
+	v := create()
+	r.vars.Set(name, v)
+	return v
+}
--- /dev/null
+++ b/pkg/mesh/header.go
@@ -0,0 +1,29 @@
+package mesh
+
+// Header names that the processes of a mesh, backend servers included,
+// exchange with each request.
+const (
+	// RequestHeader carries the RequestID; it is echoed on every answer.
+	RequestHeader = "Lavenderrill-Request"
+	// DeadlineHeader carries the remaining time of a request in milliseconds.
+	DeadlineHeader = "Lavenderrill-Deadline"
+	// AttemptHeader carries the attempt number of a request, counted from 1.
+	AttemptHeader = "Lavenderrill-Attempt"
+	// DepthHeader carries the number of mesh calls above this one.
+	DepthHeader = "Lavenderrill-Depth"
+	// PressureHeader carries the pressure of a gate per rank.
+	PressureHeader = "Lavenderrill-Pressure"
+	// VersionHeader carries the configuration version that routed a request.
+	VersionHeader = "Lavenderrill-Version"
+	// RankHeader carries the rank that the route gives to a request.
+	RankHeader = "Lavenderrill-Rank"
+	// AccountHeader carries the client account that the route belongs to.
+	AccountHeader = "Lavenderrill-Account"
+	// ServiceHeader carries the service that the request was routed to.
+	ServiceHeader = "Lavenderrill-Service"
+	// RouteHeader carries the name of the route.
+	RouteHeader = "Lavenderrill-Route"
+	// HopHeader carries the authentication token of a request forwarded from
+	// one node to another.
+	HopHeader = "Lavenderrill-Hop"
+)
