--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,198 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// Environment variables that hold secrets.
+const (
+	KeyEnv       = "LAVENDERRILL_KEY"
+	TokenEnv     = "LAVENDERRILL_TOKEN"
+	AccessKeyEnv = "LAVENDERRILL_ACCESS_KEY"
+	SecretKeyEnv = "LAVENDERRILL_SECRET_KEY"
+)
+
+// minSecret is the least length of the shared key and of the operator token.
+const minSecret = 16
+
+// Node holds the settings of one node.
+type Node struct {
+	ID   string
+	Zone string
+
+	Caller   string // listen address for callers
+	Peer     string // listen address for other nodes, TCP and UDP
+	Operator string // listen address for operators
+	Backend  string // listen address for the backend server of this VM
+
+	Advertise string   // peer address told to other nodes; the listen address if empty
+	Join      []string // peer addresses of nodes to join
+
+	Table    string // name of the table
+	Bucket   string // name of the bucket
+	Region   string
+	TableURL string
+	Objects  string // URL of the object store
+	Timeout  time.Duration
+
+	Drain     time.Duration // longest wait for requests in flight at a planned stop
+	LogFormat string
+	LogLevel  string
+
+	Key       string // shared key of peer traffic
+	Token     string // operator token
+	AccessKey string // access key of the platform
+	SecretKey string // secret key of the platform
+}
+
+// Flags registers the settings of n on cmd. Each flag also has an environment
+// variable with the prefix LAVENDERRILL_.
+func (n *Node) Flags(cmd *kingpin.CmdClause) {
+	text := func(name, help, def string) *kingpin.FlagClause {
+		f := cmd.Flag(name, help).Envar(envName(name))
+		if def != "" {
+			f = f.Default(def)
+		}
+		return f
+	}
+	text("id", "Node id; a random one if empty.", "").StringVar(&n.ID)
+	text("zone", "Availability zone of this VM.", "").StringVar(&n.Zone)
+	text("caller", "Listen address for callers.", "127.0.0.1:8080").StringVar(&n.Caller)
+	text("peer", "Listen address for other nodes, TCP and UDP.", "127.0.0.1:8081").StringVar(&n.Peer)
+	text("operator", "Listen address for operators.", "127.0.0.1:8082").StringVar(&n.Operator)
+	text("backend", "Listen address for the backend server of this VM.", "127.0.0.1:8083").StringVar(&n.Backend)
+	text("advertise", "Peer address told to other nodes; the listen address if empty.", "").StringVar(&n.Advertise)
+	text("join", "Peer address of a node to join; may be repeated.", "").StringsVar(&n.Join)
+	text("table", "Name of the platform's table.", "lavenderrill").StringVar(&n.Table)
+	text("bucket", "Name of the platform's bucket.", "lavenderrill").StringVar(&n.Bucket)
+	text("region", "Region name used to sign platform requests.", "local").StringVar(&n.Region)
+	text("table-url", "URL of the table service.", "").StringVar(&n.TableURL)
+	text("object-url", "URL of the object store.", "").StringVar(&n.Objects)
+	text("platform-timeout", "Time-out of one platform request.", "2s").DurationVar(&n.Timeout)
+	text("drain", "Longest wait for requests in flight at a planned stop.", "30s").DurationVar(&n.Drain)
+	text("log-format", "Log format: json or console.", "json").StringVar(&n.LogFormat)
+	text("log-level", "Least level that is logged: debug, info, warn or error.", "info").StringVar(&n.LogLevel)
+}
+
+// ReadSecrets sets the secrets of n from the environment by getenv.
+func (n *Node) ReadSecrets(getenv func(string) string) {
+	n.Key = getenv(KeyEnv)
+	n.Token = getenv(TokenEnv)
+	n.AccessKey = getenv(AccessKeyEnv)
+	n.SecretKey = getenv(SecretKeyEnv)
+}
+
+// Check returns an error of kind fault.Settings that names every fault in n,
+// or nil.
+func (n *Node) Check() error {
+	errs := []error{
+		checkName("zone", n.Zone),
+		checkAddr("caller", n.Caller),
+		checkAddr("peer", n.Peer),
+		checkAddr("operator", n.Operator),
+		checkAddr("backend", n.Backend),
+		checkURL("table-url", n.TableURL),
+		checkURL("object-url", n.Objects),
+		checkFilled("table", n.Table),
+		checkFilled("bucket", n.Bucket),
+		checkFilled("region", n.Region),
+		checkPositive("platform-timeout", n.Timeout),
+		checkPositive("drain", n.Drain),
+		checkOneOf("log-format", n.LogFormat, "json", "console"),
+		checkOneOf("log-level", n.LogLevel, "debug", "info", "warn", "error"),
+		checkSecret(KeyEnv, n.Key),
+		checkSecret(TokenEnv, n.Token),
+		checkFilled(AccessKeyEnv, n.AccessKey),
+		checkFilled(SecretKeyEnv, n.SecretKey),
+	}
+	if n.ID != "" {
+		errs = append(errs, checkName("id", n.ID))
+	}
+	if n.Advertise != "" {
+		errs = append(errs, checkAddr("advertise", n.Advertise))
+	}
+	for _, a := range n.Join {
+		errs = append(errs, checkAddr("join", a))
+	}
+	if err := errors.Join(errs...); err != nil {
+		return fault.Newf(fault.Settings, "%w", err)
+	}
+	return nil
+}
+
+func envName(flag string) string {
+	return "LAVENDERRILL_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+func checkName(field, s string) error {
+	if err := mesh.CheckName(s); err != nil {
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	return nil
+}
+
+func checkAddr(field, s string) error {
+	host, port, ok := strings.Cut(s, ":")
+	if strings.HasPrefix(s, "[") {
+		host, port, ok = strings.Cut(s, "]:")
+		host = strings.TrimPrefix(host, "[")
+	}
+	if !ok {
+		return fmt.Errorf("%s: %q has no port", field, s)
+	}
+	if _, err := netip.ParseAddr(host); err != nil {
+		return fmt.Errorf("%s: %q does not begin with an IP address", field, s)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("%s: %q has no valid port", field, s)
+	}
+	return nil
+}
+
+func checkURL(field, s string) error {
+	if strings.HasPrefix(s, "http://") || strings.HasPrefix(s, "https://") {
+		return nil
+	}
+	return fmt.Errorf("%s: %q is not an http or https URL", field, s)
+}
+
+func checkFilled(field, s string) error {
+	if s == "" {
+		return fmt.Errorf("%s: must be set", field)
+	}
+	return nil
+}
+
+func checkPositive(field string, d time.Duration) error {
+	if d <= 0 {
+		return fmt.Errorf("%s: %v is not positive", field, d)
+	}
+	return nil
+}
+
+func checkOneOf(field, s string, allowed ...string) error {
+	for _, a := range allowed {
+		if s == a {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: %q is not one of %s", field, s, strings.Join(allowed, ", "))
+}
+
+// checkSecret does not repeat the secret in its error.
+func checkSecret(field, s string) error {
+	if len(s) < minSecret {
+		return fmt.Errorf("%s: must be set to at least %d characters", field, minSecret)
+	}
+	return nil
+}
