--- /dev/null
+++ b/pkg/config/document.go
@@ -0,0 +1,193 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// Document is one parsed document.
+type Document struct {
+	Key  DocumentKey
+	Part Part
+	File string
+}
+
+// Digest returns the digest that names p.
+func (p Part) Digest() mesh.Digest { return mesh.DigestOf(p) }
+
+// YAML returns the document that p encodes in the form that operators edit.
+// ParseDocuments of the result yields p again.
+func (p Part) YAML() ([]byte, error) {
+	var n yaml.Node
+	if err := yaml.Unmarshal(p, &n); err != nil {
+		return nil, fmt.Errorf("part %s: %w", p.Digest(), err)
+	}
+	blockStyle(&n)
+	b, err := yaml.Marshal(&n)
+	if err != nil {
+		return nil, fmt.Errorf("part %s: %w", p.Digest(), err)
+	}
+	return b, nil
+}
+
+// blockStyle replaces the flow style of JSON. Quoted strings keep their quotes,
+// since a plain scalar could be read as another type.
+func blockStyle(n *yaml.Node) {
+	if n.Kind != yaml.ScalarNode {
+		n.Style = 0
+	}
+	for i, c := range n.Content {
+		blockStyle(c)
+		if n.Kind == yaml.MappingNode && i%2 == 0 {
+			c.Style = 0
+		}
+	}
+}
+
+// Key returns the document key that the content of p gives it.
+func (p Part) Key() (DocumentKey, error) {
+	d, c := decode("part", p)
+	if err := c.err(); err != nil {
+		return "", err
+	}
+	return d.key(), nil
+}
+
+// document is the content of one document.
+type document interface {
+	key() DocumentKey
+	// check adds the faults that can be seen without other documents.
+	check(*collector)
+}
+
+type fleetDocument struct {
+	Fleet    string            `json:"fleet"`
+	Ranks    []rankDocument    `json:"ranks"`
+	Services []serviceDocument `json:"services"`
+}
+
+type rankDocument struct {
+	Name   mesh.Rank `json:"name"`
+	Target duration  `json:"target"`
+	Worth  float64   `json:"worth"`
+	Floor  float64   `json:"floor"`
+	Bulk   bool      `json:"bulk"`
+}
+
+type serviceDocument struct {
+	Name        mesh.Service `json:"name"`
+	Slots       int          `json:"slots"`
+	Connections int          `json:"connections"`
+}
+
+type templateDocument struct {
+	Template   string              `json:"template"`
+	Parameters []parameterDocument `json:"parameters"`
+	Routes     []routeDocument     `json:"routes"`
+}
+
+type parameterDocument struct {
+	Name     string `json:"name"`
+	Kind     string `json:"kind"`
+	Required bool   `json:"required,omitempty"`
+	Min      value  `json:"min,omitzero"`
+	Max      value  `json:"max,omitzero"`
+	Default  value  `json:"default,omitzero"`
+}
+
+// routeDocument keeps scalars unparsed, since each may hold references to
+// parameters.
+type routeDocument struct {
+	Name       value         `json:"name,omitzero"`
+	Host       value         `json:"host,omitzero"`
+	Path       value         `json:"path,omitzero"`
+	Methods    []value       `json:"methods,omitempty"`
+	Service    value         `json:"service,omitzero"`
+	Rank       value         `json:"rank,omitzero"`
+	Idempotent value         `json:"idempotent,omitzero"`
+	Deadline   value         `json:"deadline,omitzero"`
+	Rate       value         `json:"rate,omitzero"`
+	Retry      retryDocument `json:"retry,omitzero"`
+	Claim      value         `json:"claim,omitzero"`
+}
+
+type retryDocument struct {
+	Attempts value `json:"attempts,omitzero"`
+	Hedge    value `json:"hedge,omitzero"`
+}
+
+type accountDocument struct {
+	Account    mesh.ClientAccount `json:"account"`
+	Template   string             `json:"template"`
+	Parameters map[string]value   `json:"parameters"`
+}
+
+func (d *fleetDocument) key() DocumentKey    { return FleetKey }
+func (d *templateDocument) key() DocumentKey { return TemplateKey(d.Template) }
+func (d *accountDocument) key() DocumentKey  { return AccountKey(d.Account) }
+
+// marshal is json.Marshal without the escapes that only HTML needs.
+func marshal(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(b.Bytes(), "\n"), nil
+}
+
+// decode returns the content of p with its faults, which name p as file. The
+// content is nil if it cannot be decoded.
+func decode(file string, p Part) (document, *collector) {
+	c := &collector{file: file}
+	if len(p) > MaxPart {
+		c.addf("", "has %d bytes, want at most %d", len(p), MaxPart)
+		return nil, c
+	}
+	var d document
+	switch {
+	case bytes.HasPrefix(p, []byte(`{"fleet":`)):
+		d = new(fleetDocument)
+	case bytes.HasPrefix(p, []byte(`{"template":`)):
+		d = new(templateDocument)
+	case bytes.HasPrefix(p, []byte(`{"account":`)):
+		d = new(accountDocument)
+	default:
+		c.addf("", "is not a fleet, template or account document")
+		return nil, c
+	}
+	dec := json.NewDecoder(bytes.NewReader(p))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(d); err != nil {
+		c.addf("", "cannot be decoded: %v", err)
+		return nil, c
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		c.addf("", "has data after the document")
+		return nil, c
+	}
+	d.check(c)
+	return d, c
+}
+
+// checkText adds a fault if s cannot be written in YAML without escapes or is
+// too long.
+func checkText(c *collector, field, s string) bool {
+	if len(s) > MaxText {
+		c.addf(field, "has %d bytes, want at most %d", len(s), MaxText)
+		return false
+	}
+	if i := strings.IndexFunc(s, func(r rune) bool { return r < ' ' || r == 0x7f || r == '\uFEFF' || r == '\uFFFD' }); i >= 0 {
+		c.addf(field, "holds a control character at byte %d", i)
+		return false
+	}
+	return true
+}
