--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -37,17 +37,12 @@
 	return b, nil
 }
 
-// blockStyle replaces the flow style of JSON. Quoted strings keep their quotes,
-// since a plain scalar could be read as another type.
+// blockStyle replaces the flow style and the quotes of JSON. The encoder quotes
+// a string again where its plain form would be read as another type.
 func blockStyle(n *yaml.Node) {
-	if n.Kind != yaml.ScalarNode {
-		n.Style = 0
-	}
-	for i, c := range n.Content {
+	n.Style = 0
+	for _, c := range n.Content {
 		blockStyle(c)
-		if n.Kind == yaml.MappingNode && i%2 == 0 {
-			c.Style = 0
-		}
 	}
 }
 
