Add the client of the platform's table and object store

Accepts, node rows and claims need the platform, and a lost response must neither be reported as not run nor run twice.

--- /dev/null
+++ b/internal/platform/doc.go
@@ -0,0 +1,9 @@
+// Package platform speaks to the platform: the transactional table, over the
+// DynamoDB protocol, and the object store, over the S3 protocol.
+//
+// The package decides what a failed request means. An operation that certainly
+// had no effect fails with fault.PlatformUnavailable; one that may have had an
+// effect is resolved by reading, or fails with fault.OutcomeUnknown. Requests
+// are limited by token buckets per client, so that a node cannot overload the
+// platform.
+package platform
--- /dev/null
+++ b/internal/platform/object.go
@@ -0,0 +1,118 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+	"golang.org/x/sync/errgroup"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// errDigest is the cause of an error about an object whose content does not
+// have the digest that its name gives.
+var errDigest = errors.New("content does not match its digest")
+
+const (
+	partPrefix     = "part/"
+	manifestPrefix = "manifest/"
+	parallelReads  = 16
+)
+
+// Manifest returns the manifest of the given digest.
+func (c *Client) Manifest(ctx context.Context, d mesh.Digest) (config.Manifest, error) {
+	if m, ok := c.manifests.get(d); ok {
+		return m, nil
+	}
+	b, err := c.object(ctx, manifestPrefix, d, config.MaxManifest)
+	if err != nil {
+		return config.Manifest{}, err
+	}
+	m, err := config.DecodeManifest(b)
+	if err != nil {
+		return config.Manifest{}, fault.Newf(fault.Internal, "manifest %s: %w", d, err)
+	}
+	c.manifests.put(d, m)
+	return m, nil
+}
+
+// Part returns the part of the given digest.
+func (c *Client) Part(ctx context.Context, d mesh.Digest) (config.Part, error) {
+	return c.object(ctx, partPrefix, d, config.MaxPart)
+}
+
+// Parts returns the parts that m names and that have does not return. A nil
+// have returns none.
+func (c *Client) Parts(ctx context.Context, m config.Manifest, have func(mesh.Digest) (config.Part, bool)) (map[mesh.Digest]config.Part, error) {
+	got := make([]config.Part, len(m.Entries))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallelReads)
+	for i, e := range m.Entries {
+		if have != nil {
+			if _, ok := have(e.Part); ok {
+				continue
+			}
+		}
+		g.Go(func() (err error) {
+			got[i], err = c.Part(ctx, e.Part)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	parts := make(map[mesh.Digest]config.Part)
+	for i, p := range got {
+		if p != nil {
+			parts[m.Entries[i].Part] = p
+		}
+	}
+	return parts, nil
+}
+
+func (c *Client) object(ctx context.Context, prefix string, d mesh.Digest, limit int64) ([]byte, error) {
+	op := operation{name: "get_" + prefix[:len(prefix)-1], budget: c.budgets.objectReads, refusal: "object_read_budget", repeat: true}
+	var b []byte
+	err := c.do(ctx, op, func(ctx context.Context) error {
+		out, err := c.objects.GetObject(ctx, &s3.GetObjectInput{
+			Bucket: aws.String(c.names.bucket), Key: aws.String(prefix + d.String()),
+		})
+		if err != nil {
+			return err
+		}
+		defer out.Body.Close()
+		if b, err = io.ReadAll(io.LimitReader(out.Body, limit+1)); err != nil {
+			return err
+		}
+		if mesh.DigestOf(b) != d {
+			return fmt.Errorf("%s%s: %w", prefix, d, errDigest)
+		}
+		return nil
+	})
+	if classify(err) == missing {
+		return nil, fault.Newf(fault.NotFound, "object %s%s does not exist", prefix, d)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// putObject stores b by its digest. An object without a row that refers to it
+// has no effect, so a lost response counts as a failure without effect.
+func (c *Client) putObject(ctx context.Context, prefix string, b []byte) error {
+	op := operation{name: "put_" + prefix[:len(prefix)-1], budget: c.budgets.objectWrites, refusal: "object_write_budget", repeat: true}
+	return c.do(ctx, op, func(ctx context.Context) error {
+		_, err := c.objects.PutObject(ctx, &s3.PutObjectInput{
+			Bucket: aws.String(c.names.bucket), Key: aws.String(prefix + mesh.DigestOf(b).String()), Body: bytes.NewReader(b),
+		})
+		return err
+	})
+}
