Add the outgoing HTTP/1.1 hop

Both the caller side and the gate need to know whether a failed request can have reached its peer, which net/http does not report. Each connection counts its bytes before writing and can be sealed; a mutex on the write path was weighed and dropped, since announcing the bytes before checking the seal gives the same guarantee without a lock. net/http replays bodyless requests on broken reused connections, so every body is wrapped as single-use: TestNoReplay fails for the three bodyless cases and for the keyed ones without that wrapper.

Bodyless GET and DELETE requests are marked as identity coded, because net/http otherwise starts a goroutine and a timer for each to probe the body; empty POST, PUT and PATCH go out chunked, since some servers refuse them without framing.

--- /dev/null
+++ b/internal/hop/request.go
@@ -0,0 +1,115 @@
+package hop
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// body is a request body that net/http can neither recognise as empty nor
+// rewind. net/http replays a request on a broken reused connection only if the
+// body is absent or has GetBody.
+type body struct {
+	io.ReadCloser
+}
+
+// singleUse makes the body of req single-use.
+func singleUse(req *http.Request) {
+	req.GetBody = nil
+	if req.Body != nil && req.Body != http.NoBody {
+		req.Body = &body{req.Body}
+		return
+	}
+	req.Body = &body{http.NoBody}
+	req.ContentLength = 0
+	switch req.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		// net/http sends the empty body chunked. Some servers answer 411 to
+		// these methods without any framing.
+	default:
+		// Without this net/http starts a goroutine and a timer to find out
+		// whether the body is empty.
+		req.TransferEncoding = []string{"identity"}
+	}
+}
+
+// Outgoing returns the request that forwards in to addr. It shares the body and
+// the trailer of in, has a copy of its header without hop-by-hop fields, and
+// keeps its Host.
+func Outgoing(in *http.Request, addr mesh.Addr) *http.Request {
+	h := in.Header.Clone()
+	RemoveHopHeaders(h)
+	if wantsTrailers(in.Header) {
+		h.Set("Te", "trailers")
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return &http.Request{
+		Method:        in.Method,
+		URL:           target(in.URL, addr),
+		Header:        h,
+		Host:          in.Host,
+		Body:          in.Body,
+		ContentLength: in.ContentLength,
+		Trailer:       in.Trailer,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+}
+
+func target(in *url.URL, addr mesh.Addr) *url.URL {
+	return &url.URL{
+		Scheme:     "http",
+		Host:       string(addr),
+		Path:       in.Path,
+		RawPath:    in.RawPath,
+		RawQuery:   in.RawQuery,
+		ForceQuery: in.ForceQuery,
+		Opaque:     "",
+	}
+}
+
+// Check returns the refusal of a request that cannot be forwarded, or nil:
+// protocol upgrades, CONNECT and bodies declared larger than maxBody bytes. A
+// maxBody of 0 means no limit.
+func Check(in *http.Request, maxBody int64) *fault.Error {
+	switch {
+	case in.Method == http.MethodConnect:
+		return fault.New(fault.MethodNotAllowed, "CONNECT is not supported")
+	case len(in.Header["Upgrade"]) > 0:
+		return fault.New(fault.BadRequest, "protocol upgrades are not supported")
+	case maxBody > 0 && in.ContentLength > maxBody:
+		return fault.Newf(fault.BodyTooLarge, "body of %d bytes, limit is %d", in.ContentLength, maxBody)
+	}
+	return nil
+}
+
+// LimitBody makes reads of the body of in fail with *http.MaxBytesError after
+// maxBody bytes. A maxBody of 0 means no limit.
+func LimitBody(w http.ResponseWriter, in *http.Request, maxBody int64) {
+	if maxBody > 0 && in.Body != nil && in.Body != http.NoBody {
+		in.Body = http.MaxBytesReader(w, in.Body, maxBody)
+	}
+}
+
+// CountedBody counts the bytes read from a request body.
+type CountedBody struct {
+	io.ReadCloser
+	n atomic.Int64
+}
+
+// Read implements io.Reader.
+func (b *CountedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.n.Add(int64(n))
+	return n, err
+}
+
+// Count returns the number of bytes read so far.
+func (b *CountedBody) Count() int64 { return b.n.Load() }
--- /dev/null
+++ b/internal/hop/response.go
@@ -0,0 +1,116 @@
+package hop
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// bufferSize is the size in bytes of the buffers that copy bodies.
+const bufferSize = 32 << 10
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, bufferSize)
+	return &b
+}}
+
+// ErrRead is in the chain of errors of CopyBody that came from the source.
+var ErrRead = errors.New("hop: response body was cut short")
+
+// CopyResponse answers w with resp, without its hop-by-hop fields, and closes
+// its body. The header of w may already hold fields; resp's are added to
+// them. If the body does not arrive complete, CopyResponse panics with
+// http.ErrAbortHandler, so that the answer never ends cleanly. A 101 answer
+// must not be passed in.
+func CopyResponse(w http.ResponseWriter, resp *http.Response) {
+	defer resp.Body.Close()
+	CopyHeader(w, resp)
+	if _, err := CopyBody(w, resp.Body, Streaming(resp)); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	CopyTrailer(w, resp)
+}
+
+// CopyHeader writes the status and header of resp to w, without its hop-by-hop
+// fields, and declares its trailers.
+func CopyHeader(w http.ResponseWriter, resp *http.Response) {
+	RemoveHopHeaders(resp.Header)
+	dst := w.Header()
+	for k, vs := range resp.Header {
+		dst[k] = append(dst[k], vs...)
+	}
+	for k := range resp.Trailer {
+		dst.Add("Trailer", k)
+	}
+	w.WriteHeader(resp.StatusCode)
+	if len(resp.Trailer) > 0 {
+		// Trailers need a chunked body, which net/http chooses on a flush.
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// Streaming reports whether each part of resp's body is to be flushed as it
+// arrives: the length is unknown or the content is an event stream.
+func Streaming(resp *http.Response) bool {
+	return resp.ContentLength < 0 || strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// CopyBody copies src to w until io.EOF and returns the number of bytes copied.
+// With flush each part is flushed as it arrives. Errors of src are in the chain
+// of the error together with ErrRead; other errors come from w.
+func CopyBody(w http.ResponseWriter, src io.Reader, flush bool) (int64, error) {
+	p := buffers.Get().(*[]byte)
+	defer buffers.Put(p)
+	var flusher *http.ResponseController
+	if flush {
+		flusher = http.NewResponseController(w)
+	}
+	var total int64
+	for {
+		n, rerr := src.Read(*p)
+		if n > 0 {
+			m, err := w.Write((*p)[:n])
+			total += int64(m)
+			if err != nil {
+				return total, err
+			}
+			if flusher != nil {
+				if err := flusher.Flush(); err != nil {
+					return total, err
+				}
+			}
+		}
+		if rerr == io.EOF {
+			return total, nil
+		}
+		if rerr != nil {
+			return total, fmt.Errorf("%w: %w", ErrRead, rerr)
+		}
+	}
+}
+
+// CopyTrailer sets the trailers of resp, whose body must have been read to its
+// end, on w.
+func CopyTrailer(w http.ResponseWriter, resp *http.Response) {
+	dst := w.Header()
+	declared := dst["Trailer"]
+	for k, vs := range resp.Trailer {
+		key := k
+		if !contains(declared, k) {
+			key = http.TrailerPrefix + k
+		}
+		dst[key] = append([]string(nil), vs...)
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/hop/transport.go
@@ -0,0 +1,189 @@
+package hop
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Sent says how much of a request can have reached the peer.
+type Sent uint8
+
+const (
+	// MayHaveRun means that bytes of the request were written or may have been.
+	MayHaveRun Sent = iota
+	// NothingSent means that no byte of the request was written and none will
+	// be.
+	NothingSent
+)
+
+// String returns the lower-case name of s.
+func (s Sent) String() string {
+	if s == NothingSent {
+		return "nothing-sent"
+	}
+	return "may-have-run"
+}
+
+// Defaults of Config.
+const (
+	defaultConnections = 64
+	defaultDialTimeout = time.Second
+	defaultIdleTimeout = 30 * time.Second
+	defaultHeaderBytes = 64 << 10
+	continueTimeout    = time.Second
+	keepAlivePeriod    = 15 * time.Second
+)
+
+// Config holds the settings of a Transport. Zero fields get defaults.
+type Config struct {
+	Connections    int           // most connections per host; requests beyond wait
+	Idle           int           // idle connections kept per host; Connections if 0
+	DialTimeout    time.Duration // time-out of one connection attempt
+	IdleTimeout    time.Duration // idle connections are closed after this time
+	MaxHeaderBytes int64         // largest response header
+
+	// Dial replaces the TCP dialer, for tests.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Transport sends HTTP/1.1 requests and reports what was sent of those that
+// fail. It never sends a request twice. It is safe for concurrent use.
+type Transport struct {
+	base *http.Transport
+}
+
+// New returns a Transport for c.
+func New(c Config) *Transport {
+	c = c.withDefaults()
+	proto := new(http.Protocols)
+	proto.SetHTTP1(true)
+	return &Transport{base: &http.Transport{
+		DialContext:            c.dialer(),
+		DisableCompression:     true,
+		Protocols:              proto,
+		MaxConnsPerHost:        c.Connections,
+		MaxIdleConnsPerHost:    c.Idle,
+		IdleConnTimeout:        c.IdleTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: c.MaxHeaderBytes,
+	}}
+}
+
+func (c Config) withDefaults() Config {
+	if c.Connections <= 0 {
+		c.Connections = defaultConnections
+	}
+	if c.Idle <= 0 {
+		c.Idle = c.Connections
+	}
+	if c.DialTimeout <= 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	if c.IdleTimeout <= 0 {
+		c.IdleTimeout = defaultIdleTimeout
+	}
+	if c.MaxHeaderBytes <= 0 {
+		c.MaxHeaderBytes = defaultHeaderBytes
+	}
+	return c
+}
+
+// dialer returns a dial function whose connections are of type *conn.
+func (c Config) dialer() func(ctx context.Context, network, addr string) (net.Conn, error) {
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: keepAlivePeriod}).DialContext
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+		defer cancel()
+		nc, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: nc}, nil
+	}
+}
+
+// RoundTrip sends req once and returns the response header; the caller must
+// close the body. On an error the connection is sealed and closed, and Sent is
+// NothingSent only if no byte of req was or will be written. Without an error
+// Sent is MayHaveRun.
+//
+// The body of req is wrapped, so that net/http cannot replay it; req must not
+// be used again.
+func (t *Transport) RoundTrip(ctx context.Context, req *http.Request) (*http.Response, Sent, error) {
+	var use usage
+	trace := &httptrace.ClientTrace{GotConn: use.got}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	singleUse(req)
+	resp, err := t.base.RoundTrip(req)
+	if err != nil {
+		return nil, use.seal(), err
+	}
+	return resp, MayHaveRun, nil
+}
+
+// CloseIdle closes the connections that carry no request.
+func (t *Transport) CloseIdle() { t.base.CloseIdleConnections() }
+
+// usage ties a request to the connections that carried it.
+type usage struct {
+	mu    sync.Mutex
+	conn  *conn
+	start int64 // bytes written to conn before this request
+	many  bool  // more than one connection was used
+}
+
+func (u *usage) got(info httptrace.GotConnInfo) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c, ok := info.Conn.(*conn)
+	if !ok || u.conn != nil {
+		u.many = true
+		return
+	}
+	u.conn, u.start = c, c.written.Load()
+}
+
+// seal seals the connection of a failed request and reports what was sent.
+func (u *usage) seal() Sent {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.many:
+		return MayHaveRun
+	case u.conn == nil, u.conn.seal() == u.start:
+		return NothingSent
+	}
+	return MayHaveRun
+}
+
+// Pools holds separate transports for bulk and other ranks, so that bulk bodies
+// never occupy the connections of urgent requests.
+type Pools struct {
+	bulk, other *Transport
+}
+
+// NewPools returns pools with the given settings for bulk and other ranks.
+func NewPools(bulk, other Config) *Pools {
+	return &Pools{bulk: New(bulk), other: New(other)}
+}
+
+// For returns the transport of bulk ranks or that of the other ranks.
+func (p *Pools) For(bulk bool) *Transport {
+	if bulk {
+		return p.bulk
+	}
+	return p.other
+}
+
+// CloseIdle closes the connections of both pools that carry no request.
+func (p *Pools) CloseIdle() {
+	p.bulk.CloseIdle()
+	p.other.CloseIdle()
+}
--- /dev/null
+++ b/internal/hop/transport_test.go
@@ -0,0 +1,134 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// cutter is a server that answers the first request of each connection and
+// closes the connection on reading any later one.
+func cutter(t *testing.T) (addr string, requests *atomic.Int64) {
+	t.Helper()
+	requests = new(atomic.Int64)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for first := true; ; first = false {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					requests.Add(1)
+					if !first {
+						return
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+// exchange sends req and reads the answer to its end.
+func exchange(ctx context.Context, tr *Transport, req *http.Request) (Sent, error) {
+	resp, sent, err := tr.RoundTrip(ctx, req)
+	if err != nil {
+		return sent, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return sent, err
+}
+
+// TestNoReplay guards against net/http sending a request again by itself after
+// a reused connection was closed without an answer.
+func TestNoReplay(t *testing.T) {
+	for _, c := range []struct {
+		name, method, body string
+		key                bool
+	}{
+		{"get", http.MethodGet, "", false},
+		{"get with key", http.MethodGet, "", true},
+		{"post with key", http.MethodPost, "booking", true},
+		{"empty post with key", http.MethodPost, "", true},
+		{"delete with key", http.MethodDelete, "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, n := cutter(t)
+			tr := New(Config{})
+			defer tr.CloseIdle()
+			send := func() (Sent, error) {
+				req, err := http.NewRequest(c.method, "http://"+addr+"/", strings.NewReader(c.body))
+				require.NoError(t, err)
+				if c.key {
+					req.Header.Set("Idempotency-Key", "k")
+				}
+				return exchange(t.Context(), tr, req)
+			}
+			_, err := send()
+			require.NoError(t, err)
+			sent, err := send()
+			require.Error(t, err)
+			require.Equal(t, MayHaveRun, sent)
+			require.EqualValues(t, 2, n.Load())
+		})
+	}
+}
+
+// TestNothingSent guards against an outcome unknown for a request that never
+// had a connection, and against a false "not run" for one that was written.
+func TestNothingSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	tr := New(Config{})
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", strings.NewReader("x"))
+	require.NoError(t, err)
+	sent, err := exchange(t.Context(), tr, req)
+	require.Error(t, err)
+	require.Equal(t, NothingSent, sent)
+
+	frozen := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer frozen.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	req, err = http.NewRequest(http.MethodGet, frozen.URL, nil)
+	require.NoError(t, err)
+	sent, err = exchange(ctx, tr, req)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Equal(t, MayHaveRun, sent)
+}
+
+// TestSealedWrite guards against a write that reaches the peer after its
+// request was reported as not sent.
+func TestSealedWrite(t *testing.T) {
+	a, b := net.Pipe()
+	defer b.Close()
+	c := &conn{Conn: a}
+	require.Zero(t, c.seal())
+	n, err := c.Write([]byte("late"))
+	require.Zero(t, n)
+	require.ErrorIs(t, err, errSealed)
+}
