Add the gate, its admission state machine and the backend listener

The other parts need the shape of the gate before its details, so this is the whole path in a thin form: announcements, lease, admission by rank, forwarding by internal/hop, drain and refusals with a run state.

Floors are kept as a credit in slot seconds rather than as reserved slots: a reserve would idle when its rank has no work, and at a small limit a share of less than one slot could not be expressed at all.

--- /dev/null
+++ b/internal/backend/gate_test.go
@@ -0,0 +1,185 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/admit"
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+var testSnapshot = &config.Snapshot{
+	Version: 1,
+	Ranks: []config.RankPolicy{
+		{Name: "urgent", Target: 150 * time.Millisecond, Worth: 100, Floor: 0.1},
+		{Name: "bulk", Target: 10 * time.Second, Worth: 1, Floor: 0.05, Bulk: true},
+	},
+	Routes: []config.Route{
+		{Name: "reserve", Account: "semarang", Service: "reservasi", Rank: "urgent"},
+		{Name: "pay", Account: "semarang", Service: "reservasi", Rank: "urgent", Claim: true},
+	},
+}
+
+// rig is a gate in front of a backend server, both on loopback sockets.
+type rig struct {
+	*Gate
+	url     string
+	metrics *metric.Registry
+}
+
+func newRig(t testing.TB, addr string, change func(*Config)) *rig {
+	t.Helper()
+	m := metric.New()
+	c := Config{
+		ID:        "gate-1",
+		Snapshot:  func() *config.Snapshot { return testSnapshot },
+		Metrics:   m,
+		Admission: admit.Config{Ramp: -1},
+	}
+	if change != nil {
+		change(&c)
+	}
+	g := New(c)
+	s := httptest.NewServer(g.Hop())
+	t.Cleanup(s.Close)
+	r := &rig{Gate: g, url: s.URL, metrics: m}
+	if addr != "" {
+		require.Equal(t, http.StatusOK, r.announce(t, announcement(addr)).Code)
+	}
+	return r
+}
+
+func announcement(addr string) string {
+	return fmt.Sprintf(`{"service":"reservasi","addr":%q,"slots":20,"connections":110,"state":"ready","health":"ok","load":0}`, addr)
+}
+
+func (r *rig) announce(t testing.TB, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	w := httptest.NewRecorder()
+	r.Announcements().ServeHTTP(w, httptest.NewRequest(http.MethodPost, AnnouncePath, strings.NewReader(body)))
+	return w
+}
+
+var requestCount int
+
+// request returns a request as another node forwards it.
+func (r *rig) request(t testing.TB, method, body string, deadline time.Duration) *http.Request {
+	t.Helper()
+	requestCount++
+	req, err := http.NewRequest(method, r.url+"/reservations?x=1", strings.NewReader(body))
+	require.NoError(t, err)
+	for k, v := range map[string]string{
+		mesh.RequestHeader: fmt.Sprintf("r%d", requestCount), mesh.AttemptHeader: "1",
+		mesh.ServiceHeader: "reservasi", mesh.RankHeader: "urgent", mesh.AccountHeader: "semarang",
+		mesh.RouteHeader: "reserve", mesh.DeadlineHeader: fmt.Sprint(deadline.Milliseconds()),
+		mesh.VersionHeader: "1", mesh.HopHeader: "secret",
+	} {
+		req.Header.Set(k, v)
+	}
+	return req
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func send(t testing.TB, req *http.Request) reply {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(b), err}
+}
+
+func (p reply) requireRefusal(t testing.TB, k fault.Kind, run fault.Run) {
+	t.Helper()
+	var b fault.Body
+	require.NoError(t, json.Unmarshal([]byte(p.body), &b), p.body)
+	require.Equal(t, k, b.Kind, p.body)
+	require.Equal(t, run, b.Run, p.body)
+	require.Equal(t, string(run), p.header.Get(fault.RunHeader))
+	require.NotEmpty(t, p.header.Get(mesh.PressureHeader))
+	require.Equal(t, p.header.Get(mesh.RequestHeader), string(b.Request))
+}
+
+func (r *rig) requireInvariants(t testing.TB) {
+	t.Helper()
+	require.Equal(t, "{}", r.metrics.ByReason("invariant_broken").String())
+}
+
+// TestForward guards against a forwarded request or its answer that arrives
+// changed.
+func TestForward(t *testing.T) {
+	var got *http.Request
+	var body string
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got, body = r, string(b)
+		w.Header().Set("X-Backend", "1")
+		w.Header().Set(mesh.PressureHeader, "forged=1")
+		w.WriteHeader(http.StatusConflict)
+		_, _ = io.WriteString(w, "taken")
+	}))
+	defer s.Close()
+	r := newRig(t, s.Listener.Addr().String(), nil)
+	p := send(t, r.request(t, http.MethodPost, "seat", time.Second))
+	require.NoError(t, p.err)
+	require.Equal(t, http.StatusConflict, p.status)
+	require.Equal(t, "taken", p.body)
+	require.Equal(t, "1", p.header.Get("X-Backend"))
+	require.Contains(t, p.header.Get(mesh.PressureHeader), "urgent=")
+	require.Equal(t, "seat", body)
+	require.Equal(t, "/reservations?x=1", got.RequestURI)
+	require.Equal(t, "semarang", got.Header.Get(mesh.AccountHeader))
+	require.Empty(t, got.Header.Get(mesh.HopHeader))
+	r.requireInvariants(t)
+	require.Zero(t, r.Status().InFlight)
+}
+
+// TestWrongService guards against a request that reaches the backend server of
+// another service.
+func TestWrongService(t *testing.T) {
+	r := newRig(t, "127.0.0.1:9", nil)
+	req := r.request(t, http.MethodPost, "", time.Second)
+	req.Header.Set(mesh.ServiceHeader, "katalog")
+	send(t, req).requireRefusal(t, fault.NoEndpoint, fault.NotRun)
+}
+
+// TestDrain guards against work that a drain interrupts or lets in.
+func TestDrain(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-release
+	}))
+	defer s.Close()
+	r := newRig(t, s.Listener.Addr().String(), nil)
+	req := r.request(t, http.MethodPost, "", 5*time.Second)
+	done := make(chan reply, 1)
+	go func() { done <- send(t, req) }()
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, r.Drain(ctx), context.DeadlineExceeded)
+	send(t, r.request(t, http.MethodPost, "", time.Second)).requireRefusal(t, fault.Draining, fault.NotRun)
+	close(release)
+	require.Equal(t, http.StatusOK, (<-done).status)
+	require.NoError(t, r.Drain(t.Context()))
+	r.requireInvariants(t)
+}
--- /dev/null
+++ b/internal/backend/serve.go
@@ -0,0 +1,321 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/admit"
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// call is one forwarded request at the gate.
+type call struct {
+	admit.Ticket
+	id      mesh.RequestID
+	attempt string
+	service mesh.Service
+	route   string
+	decided chan struct{} // receives once when a queued ticket is decided
+
+	endpoint mesh.Addr
+	pools    *hop.Pools
+	bulk     bool
+	latency  time.Duration // time to the response header
+}
+
+// Hop serves requests that other nodes forward. They must be authenticated.
+func (g *Gate) Hop() http.Handler { return http.HandlerFunc(g.serve) }
+
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	c, e := g.newCall(r)
+	if e == nil {
+		e = hop.Check(r, g.conf.MaxBody)
+	}
+	if e != nil {
+		g.refuse(w, c, e)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	hop.LimitBody(w, r, g.conf.MaxBody)
+	if e := g.enter(ctx, c); e != nil {
+		g.refuse(w, c, e)
+		return
+	}
+	defer g.leave(c)
+	resp, e := g.forward(ctx, c, r)
+	if e != nil {
+		g.refuse(w, c, e)
+		return
+	}
+	defer resp.Body.Close()
+	g.answer(w, c, resp)
+}
+
+// newCall reads the headers of a forwarded request.
+func (g *Gate) newCall(r *http.Request) (*call, *fault.Error) {
+	h := r.Header
+	c := &call{
+		id:      mesh.RequestID(h.Get(mesh.RequestHeader)),
+		attempt: h.Get(mesh.AttemptHeader),
+		service: mesh.Service(h.Get(mesh.ServiceHeader)),
+		route:   h.Get(mesh.RouteHeader),
+	}
+	c.Rank = mesh.Rank(h.Get(mesh.RankHeader))
+	c.Account = mesh.ClientAccount(h.Get(mesh.AccountHeader))
+	c.Data = c
+	if c.id == "" {
+		return c, fault.Newf(fault.BadRequest, "header %s is missing", mesh.RequestHeader)
+	}
+	left := g.conf.MaxDeadline
+	if s := h.Get(mesh.DeadlineHeader); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil {
+			return c, fault.Newf(fault.BadRequest, "header %s: %q is not a number of milliseconds", mesh.DeadlineHeader, s)
+		}
+		left = min(time.Duration(min(ms, int64(left/time.Millisecond)))*time.Millisecond, left)
+	}
+	if left <= 0 {
+		return c, fault.New(fault.DeadlineExceeded, "deadline passed before the gate")
+	}
+	c.Deadline = time.Now().Add(left)
+	return c, nil
+}
+
+// enter waits for admission. A nil error means that leave must be called.
+func (g *Gate) enter(ctx context.Context, c *call) *fault.Error {
+	now := time.Now()
+	c.decided = make(chan struct{}, 1)
+	g.mu.Lock()
+	if e := g.available(c); e != nil {
+		g.mu.Unlock()
+		return e
+	}
+	g.applySnapshot(now)
+	c.endpoint, c.pools, c.bulk = g.endpoint.addr, g.endpoint.pools, g.isBulk(c.Rank)
+	g.decide(g.machine.Offer(now, &c.Ticket))
+	state := c.State()
+	if state == admit.Admitted {
+		g.admitted(now, c)
+	}
+	g.mu.Unlock()
+	if state == admit.Queued {
+		if e := g.await(ctx, c); e != nil {
+			return e
+		}
+	}
+	if e := c.Refusal(); e != nil {
+		return e
+	}
+	g.forwarding.Add(1)
+	return nil
+}
+
+// available returns the refusal of a request that the endpoint cannot take.
+func (g *Gate) available(c *call) *fault.Error {
+	state := g.endpointState()
+	switch {
+	case state == member.Draining, g.stopping:
+		return fault.New(fault.Draining, "the backend server is draining")
+	case state == member.NoEndpoint:
+		return fault.New(fault.NoEndpoint, "no backend server has announced itself")
+	case c.service != g.endpoint.service:
+		return fault.Newf(fault.NoEndpoint, "the backend server is of service %q, not %q", g.endpoint.service, c.service)
+	case state == member.Starting:
+		return fault.New(fault.NotReady, "the backend server is starting")
+	case state == member.Unhealthy:
+		return fault.New(fault.NoEndpoint, "the backend server is unhealthy")
+	}
+	return nil
+}
+
+// await waits until the queued c is decided or ctx ends.
+func (g *Gate) await(ctx context.Context, c *call) *fault.Error {
+	select {
+	case <-c.decided:
+		return nil
+	case <-ctx.Done():
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.machine.Cancel(now, &c.Ticket) && c.State() == admit.Admitted {
+		g.decide(g.machine.Done(now, &c.Ticket, 0))
+		g.checkIdle()
+	}
+	return endOf(ctx.Err(), fault.NotRun)
+}
+
+// endOf returns the refusal of a request whose context ended with err.
+func endOf(err error, run fault.Run) *fault.Error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fault.New(fault.DeadlineExceeded, "deadline passed").WithRun(run)
+	}
+	return fault.New(fault.Canceled, "the caller went away").WithRun(run)
+}
+
+// decide wakes the requests that the machine decided. The lock must be held.
+func (g *Gate) decide(ts []*admit.Ticket) {
+	for _, t := range ts {
+		c := t.Data.(*call)
+		if t.State() == admit.Admitted {
+			g.admitted(time.Now(), c)
+		}
+		c.decided <- struct{}{}
+	}
+}
+
+// admitted counts an admission and checks its invariants. The lock must be
+// held.
+func (g *Gate) admitted(now time.Time, c *call) {
+	g.figures.admitted.Add(string(c.Rank), 1)
+	if g.machine.InFlight() > g.machine.Limit(now) {
+		g.figures.registry.InvariantBroken("gate_in_flight_above_limit")
+	}
+	if g.machine.Draining() {
+		g.figures.registry.InvariantBroken("gate_admitted_while_draining")
+	}
+}
+
+// leave gives the slot of c back.
+func (g *Gate) leave(c *call) {
+	g.forwarding.Add(-1)
+	g.mu.Lock()
+	g.decide(g.machine.Done(time.Now(), &c.Ticket, c.latency))
+	g.checkIdle()
+	g.mu.Unlock()
+}
+
+// applySnapshot gives the rank policies of a new configuration to the machine.
+func (g *Gate) applySnapshot(now time.Time) {
+	s := g.conf.Snapshot()
+	if s == nil || s == g.snapshot {
+		return
+	}
+	g.snapshot = s
+	g.decide(g.machine.SetRanks(now, s.Ranks))
+}
+
+func (g *Gate) isBulk(r mesh.Rank) bool {
+	return g.snapshot != nil && policyOf(g.snapshot, r).Bulk
+}
+
+// policyOf returns the policy of r, or that of the least urgent rank.
+func policyOf(s *config.Snapshot, r mesh.Rank) config.RankPolicy {
+	if i, ok := s.RankIndex(r); ok {
+		return s.Ranks[i]
+	}
+	if n := len(s.Ranks); n > 0 {
+		return s.Ranks[n-1]
+	}
+	return config.RankPolicy{}
+}
+
+// forward sends the admitted c to the backend server.
+func (g *Gate) forward(ctx context.Context, c *call, r *http.Request) (*http.Response, *fault.Error) {
+	g.figures.wait.record(c.Rank, c.Waited())
+	if g.recent.add(attempt{c.id, c.attempt}) {
+		g.figures.registry.InvariantBroken("gate_attempt_run_twice")
+	}
+	out := hop.Outgoing(r, c.endpoint)
+	out.Header.Del(mesh.HopHeader)
+	left := time.Until(c.Deadline)
+	out.Header.Set(mesh.DeadlineHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	start := time.Now()
+	resp, sent, err := c.pools.For(c.bulk).RoundTrip(ctx, out)
+	if err != nil {
+		return nil, g.failure(ctx, c, sent, err)
+	}
+	c.latency = time.Since(start)
+	g.answered(c.endpoint)
+	return g.checkAnswer(c, resp)
+}
+
+// failure returns the refusal of a request without a response header.
+func (g *Gate) failure(ctx context.Context, c *call, sent hop.Sent, err error) *fault.Error {
+	run := fault.Unknown
+	if sent == hop.NothingSent {
+		run = fault.NotRun
+	}
+	var big *http.MaxBytesError
+	switch {
+	case errors.As(err, &big):
+		return fault.Newf(fault.BodyTooLarge, "limit is %d bytes", big.Limit).WithRun(run)
+	case ctx.Err() != nil:
+		return endOf(ctx.Err(), run)
+	}
+	g.connectionFailed(c.endpoint)
+	g.log.Debug("connection to the backend server failed", zap.Error(err), zap.String("run", string(run)))
+	if run == fault.NotRun {
+		return fault.Newf(fault.NoEndpoint, "no connection to the backend server: %w", err)
+	}
+	return fault.Newf(fault.OutcomeUnknown, "the backend server did not answer: %w", err)
+}
+
+// checkAnswer returns resp unless it cannot be the response to c.
+func (g *Gate) checkAnswer(c *call, resp *http.Response) (*http.Response, *fault.Error) {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		resp.Body.Close()
+		return nil, fault.New(fault.OutcomeUnknown, "the backend server switched protocols")
+	}
+	if id := resp.Header.Get(mesh.RequestHeader); id != "" && id != string(c.id) {
+		resp.Body.Close()
+		g.figures.registry.InvariantBroken("gate_request_id_mismatch")
+		return nil, fault.New(fault.OutcomeUnknown, "the backend server answered another request")
+	}
+	return resp, nil
+}
+
+// answer passes resp on. It panics with http.ErrAbortHandler if the body is cut
+// short.
+func (g *Gate) answer(w http.ResponseWriter, c *call, resp *http.Response) {
+	ok := false
+	defer func() {
+		if !ok {
+			g.figures.aborted.Add(1)
+		}
+	}()
+	h := resp.Header
+	h.Del(mesh.PressureHeader)
+	if resp.StatusCode == http.StatusServiceUnavailable && h.Get(fault.RunHeader) == string(fault.NotRun) {
+		if h.Get(fault.KindHeader) == "" {
+			h.Set(fault.KindHeader, string(fault.Overloaded))
+		}
+		g.figures.refused.Add("backend_server", 1)
+	} else {
+		h.Del(fault.KindHeader)
+		h.Del(fault.RunHeader)
+	}
+	h.Set(mesh.RequestHeader, string(c.id))
+	g.setPressure(w)
+	hop.CopyResponse(w, resp)
+	ok = true
+	g.figures.service.record(c.Rank, c.latency)
+}
+
+// refuse answers c with e.
+func (g *Gate) refuse(w http.ResponseWriter, c *call, e *fault.Error) {
+	g.figures.refuse(e)
+	w.Header().Set(mesh.RequestHeader, string(c.id))
+	g.setPressure(w)
+	fault.Write(w, e, c.id)
+}
+
+func (g *Gate) setPressure(w http.ResponseWriter) {
+	var buf [8]admit.RankPressure
+	g.mu.Lock()
+	ps := g.machine.Pressure(time.Now(), buf[:0])
+	g.mu.Unlock()
+	if len(ps) > 0 {
+		w.Header().Set(mesh.PressureHeader, admit.FormatPressure(ps))
+	}
+}
--- /dev/null
+++ b/internal/core/admit/doc.go
@@ -0,0 +1,9 @@
+// Package admit decides which requests a gate lets through to its backend
+// server, in which order, and how many at a time.
+//
+// A Machine holds a bounded queue per rank, a floor of slots per rank, round
+// robin among client accounts inside a rank, and a concurrency limit that
+// follows the observed latency. It does no input or output, reads no clock and
+// is not safe for concurrent use: callers hold a lock round every call, pass
+// the time, and act on the tickets that a call returns as decided.
+package admit
--- /dev/null
+++ b/internal/core/admit/rank.go
@@ -0,0 +1,95 @@
+package admit
+
+import (
+	"time"
+
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// minFloor is the share of slots of a rank whose policy names none. Without it
+// a flood of a more urgent rank would starve the rank.
+const minFloor = 0.01
+
+const (
+	// serviceWeight is the weight of a new sample in the mean service time.
+	serviceWeight = 1.0 / 16
+	// intervalWeight is the weight of a new sample in the mean time between
+	// two admissions from the queue.
+	intervalWeight = 1.0 / 16
+	// initialService is the service time assumed before the first sample.
+	initialService = 10 * time.Millisecond
+	// saveUp is the time for which a rank with waiting work saves up its floor
+	// when it gets no slots.
+	saveUp = time.Second
+	// debtTime is the time of floor that a rank owes at most for slots that it
+	// got beyond its floor.
+	debtTime = 100 * time.Millisecond
+)
+
+// rank is the state of one rank. Credit is in slot seconds: it grows with the
+// floor and pays for the service time of admitted requests. While it is not
+// negative, the rank is served before more urgent ones.
+type rank struct {
+	policy   config.RankPolicy
+	queue    queue
+	inFlight int
+	credit   float64
+	refilled time.Duration // time of the last refill
+	service  float64       // mean service time in seconds
+	interval float64       // mean seconds between two admissions from the queue
+	last     time.Duration // last admission from the queue, or start of waiting
+	merged   *rank         // rank that took over the tickets of a removed one
+	latency  baseline
+}
+
+func newRank(p config.RankPolicy, now time.Duration) *rank {
+	r := &rank{refilled: now, service: initialService.Seconds()}
+	r.queue.lines = make(map[mesh.ClientAccount]*line)
+	r.setPolicy(p)
+	return r
+}
+
+func (r *rank) setPolicy(p config.RankPolicy) {
+	p.Floor = max(p.Floor, minFloor)
+	r.policy = p
+}
+
+// current returns the rank that accounts for tickets of r.
+func (r *rank) current() *rank {
+	for r.merged != nil {
+		r = r.merged
+	}
+	return r
+}
+
+// refill adds the floor of the time since the last refill at limit slots.
+func (r *rank) refill(now time.Duration, limit float64) {
+	rate := r.policy.Floor * limit
+	r.credit += rate * (now - r.refilled).Seconds()
+	r.refilled = now
+	top := r.service
+	if r.queue.n > 0 {
+		top += rate * saveUp.Seconds()
+	}
+	low := -r.service - rate*debtTime.Seconds()
+	r.credit = min(max(r.credit, low), top)
+}
+
+// belowFloor reports whether r is owed a slot at the given limit.
+func (r *rank) belowFloor(limit float64) bool {
+	return r.credit >= 0 && float64(r.inFlight) <= r.policy.Floor*limit
+}
+
+// served records the end of a request of r that held its slot for d.
+func (r *rank) served(charged float64, d time.Duration) {
+	s := d.Seconds()
+	r.credit += charged - s
+	r.service += serviceWeight * (s - r.service)
+}
+
+// dequeued records an admission from the queue.
+func (r *rank) dequeued(now time.Duration) {
+	r.interval += intervalWeight * ((now - r.last).Seconds() - r.interval)
+	r.last = now
+}
--- /dev/null
+++ b/internal/core/admit/ticket.go
@@ -0,0 +1,76 @@
+package admit
+
+import (
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// State is the state of a Ticket.
+type State uint8
+
+// The states of a ticket. Admitted, Refused and Canceled are decisions; a
+// ticket gets exactly one of them.
+const (
+	New State = iota
+	Queued
+	Admitted
+	Refused
+	Canceled
+	Finished // admitted earlier and done
+)
+
+var stateNames = [...]string{"new", "queued", "admitted", "refused", "canceled", "finished"}
+
+// String returns the lower-case name of s.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "invalid"
+}
+
+// Ticket is one request at the gate. The exported fields are set by the caller
+// before Offer and not changed afterwards. A ticket must not be copied or
+// offered twice.
+type Ticket struct {
+	Rank     mesh.Rank
+	Account  mesh.ClientAccount
+	Deadline time.Time // latest useful time of the answer; zero means none
+	Data     any       // for the caller's use
+
+	state    State
+	refusal  *fault.Error
+	rank     *rank
+	line     *line
+	next     *Ticket
+	prev     *Ticket
+	heap     int // position in the deadline heap, or -1
+	offered  time.Duration
+	admitted time.Duration
+	deadline time.Duration
+	charged  float64 // slot seconds charged at admission
+}
+
+// State returns the state of t.
+func (t *Ticket) State() State { return t.state }
+
+// Refusal returns the reason of a refused ticket, or nil. The error is shared
+// between tickets and must not be changed.
+func (t *Ticket) Refusal() *fault.Error { return t.refusal }
+
+// Waited returns the time that an admitted ticket spent in the queue.
+func (t *Ticket) Waited() time.Duration { return t.admitted - t.offered }
+
+// The refusals. They are shared, so that refusing costs no allocation in a
+// flood.
+var (
+	errQueueFull = fault.New(fault.Overloaded, "the queue of the rank is full")
+	errWait      = fault.New(fault.Overloaded, "expected wait exceeds the remaining deadline")
+	errTarget    = fault.New(fault.Overloaded, "expected wait exceeds the target of the rank")
+	errEvicted   = fault.New(fault.Overloaded, "displaced by a client account with less waiting work")
+	errExpired   = fault.New(fault.DeadlineExceeded, "deadline passed in the queue")
+	errDraining  = fault.New(fault.Draining, "the backend server is draining")
+	errNoRanks   = fault.New(fault.NotReady, "no configuration is held yet")
+)
