Test admission by model and by simulated flood; add claims

Claims are made before admission, because a slot held during a slow table write would let an outage of the platform slow the routes without claims.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -100,7 +100,7 @@
 	g := &Gate{conf: c, log: c.Log, recent: newRecent(), idle: make(chan struct{})}
 	g.machine = admit.NewMachine(c.Admission, time.Now())
 	g.figures = newFigures(c.Metrics, g)
-	g.claims = newClaims(c)
+	g.claims = newClaims(c, g.figures)
 	g.told.tell = c.OnEndpoint
 	return g
 }
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -30,6 +30,7 @@
 	pools    *hop.Pools
 	bulk     bool
 	latency  time.Duration // time to the response header
+	notRun   func()        // called before an answer that says not run; may be nil
 }
 
 // Hop serves requests that other nodes forward. They must be authenticated.
@@ -47,18 +48,65 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	hop.LimitBody(w, r, g.conf.MaxBody)
-	if e := g.enter(ctx, c); e != nil {
+	cl, e := g.claim(ctx, c, r)
+	switch {
+	case e != nil:
 		g.refuse(w, c, e)
-		return
+	case cl == nil:
+		if e := g.run(ctx, w, r, c); e != nil {
+			g.refuse(w, c, e)
+		}
+	case cl.response != nil:
+		g.repeat(w, c, cl.response)
+	default:
+		g.runClaimed(ctx, w, r, c, cl)
+	}
+}
+
+// run admits c, forwards it and passes the response on. An error means that
+// nothing was written to w.
+func (g *Gate) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	if e := g.enter(ctx, c); e != nil {
+		return e
 	}
 	defer g.leave(c)
 	resp, e := g.forward(ctx, c, r)
 	if e != nil {
-		g.refuse(w, c, e)
-		return
+		return e
 	}
 	defer resp.Body.Close()
 	g.answer(w, c, resp)
+	return nil
+}
+
+// runClaimed is run for a request that holds a claim.
+func (g *Gate) runClaimed(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, cl *claim) {
+	// Also ends the claim when answer panics because the body was cut short.
+	defer g.claims.finish(cl, claimUnknown, nil)
+	kept := &capture{ResponseWriter: w}
+	c.notRun = func() { g.claims.release(ctx, cl) }
+	if e := g.run(ctx, kept, r, c); e != nil {
+		if e.Run == fault.NotRun {
+			c.notRun()
+		}
+		g.refuse(w, c, e)
+		return
+	}
+	if s := kept.stored(); s != nil {
+		g.claims.finish(cl, claimStored, s)
+	}
+}
+
+// repeat answers c with the kept response of the request that it repeats.
+func (g *Gate) repeat(w http.ResponseWriter, c *call, s *stored) {
+	h := w.Header()
+	for k, vs := range s.header {
+		h[k] = vs
+	}
+	h.Set(mesh.RequestHeader, string(c.id))
+	g.setPressure(w)
+	w.WriteHeader(s.status)
+	_, _ = w.Write(s.body)
 }
 
 // newCall reads the headers of a forwarded request.
@@ -291,6 +339,9 @@
 			h.Set(fault.KindHeader, string(fault.Overloaded))
 		}
 		g.figures.refused.Add("backend_server", 1)
+		if c.notRun != nil {
+			c.notRun()
+		}
 	} else {
 		h.Del(fault.KindHeader)
 		h.Del(fault.RunHeader)
--- /dev/null
+++ b/internal/core/admit/flood_test.go
@@ -0,0 +1,136 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	simSlots   = 20
+	simService = 20 * time.Millisecond
+	simRate    = float64(simSlots) / 0.020 // requests per second at capacity
+)
+
+// newSim returns a simulation of one gate with 20 slots of 20 ms. Shares are
+// the offered loads in multiples of the capacity, most urgent first.
+func newSim(order Order, fixed bool, shares ...float64) *sim {
+	s := &sim{
+		conf: Config{Slots: simSlots, Ranks: testRanks[:3], Order: order, Fixed: fixed},
+		real: func(time.Duration) int { return simSlots },
+		span: 30 * time.Second, warm: 10 * time.Second, seed: 1,
+	}
+	for i, share := range shares {
+		p := testRanks[i]
+		s.loads = append(s.loads, load{rank: p.Name, rate: share * simRate, service: simService, accounts: 8, deadline: 2 * p.Target})
+	}
+	return s
+}
+
+// variants are the compared admission policies.
+var variants = []struct {
+	name  string
+	order Order
+	fixed bool
+}{
+	{"arrival fixed", Arrival, true},
+	{"strict fixed", Strict, true},
+	{"strict adaptive", Strict, false},
+	{"floors fixed", Floors, true},
+	{"floors adaptive", Floors, false},
+}
+
+// TestLowFlood guards the most urgent rank and the useful work against a flood
+// of the least urgent rank at 10 times capacity.
+func TestLowFlood(t *testing.T) {
+	for _, v := range variants {
+		s := newSim(v.order, v.fixed, 0.3, 0.2, 10)
+		res := s.run()
+		u := res["urgent"]
+		total := float64(u.inTime+res["normal"].inTime+res["low"].inTime) / (s.span - s.warm).Seconds() / simRate
+		inTime := float64(u.inTime) / float64(u.offered)
+		fmt.Printf("low flood, %s: urgent in time %.4f, total in time %.3f of capacity\n%s", v.name, inTime, total, s.table())
+		if v.order == Floors {
+			require.GreaterOrEqual(t, inTime, 0.999, v.name)
+			require.GreaterOrEqual(t, total, 0.95, v.name)
+		}
+	}
+}
+
+// TestUrgentFlood guards the floors of the other ranks, and the useful urgent
+// work, against a flood of the most urgent rank at 5 times capacity.
+func TestUrgentFlood(t *testing.T) {
+	for _, v := range variants {
+		s := newSim(v.order, v.fixed, 5, 1, 1)
+		res := s.run()
+		secs := (s.span - s.warm).Seconds()
+		urgent := float64(res["urgent"].inTime) / secs / simRate
+		fmt.Printf("urgent flood, %s: urgent in time %.3f of capacity\n%s", v.name, urgent, s.table())
+		if v.order != Floors {
+			continue
+		}
+		for _, p := range testRanks[1:3] {
+			got := res[p.Name].slotTime.Seconds() / secs
+			require.GreaterOrEqual(t, got, p.Floor*simSlots*0.95, "%s: slots of %s", v.name, p.Name)
+		}
+	}
+}
+
+// TestBulkReserve guards urgent requests against waiting behind long bulk
+// requests that came first.
+func TestBulkReserve(t *testing.T) {
+	s := newSim(Floors, false)
+	s.conf.Ranks = testRanks
+	s.loads = []load{
+		{rank: "urgent", rate: 0.2 * simRate, service: simService, accounts: 4, deadline: time.Second},
+		{rank: "bulk", rate: 100, service: 2 * time.Second, accounts: 4, deadline: 20 * time.Second},
+	}
+	res := s.run()
+	fmt.Printf("bulk flood of 2 s downloads:\n%s", s.table())
+	require.GreaterOrEqual(t, float64(res["urgent"].inTime)/float64(res["urgent"].offered), 0.999)
+	require.LessOrEqual(t, res["bulk"].slotTime.Seconds()/(s.span-s.warm).Seconds(), 10.5)
+}
+
+// TestAccountFairness guards the other client accounts of a rank against a
+// flood from one of them.
+func TestAccountFairness(t *testing.T) {
+	m := NewMachine(Config{Slots: 1, Ranks: testRanks[2:3], Queue: 8, Ramp: -1}, epoch)
+	first := &Ticket{Rank: "low", Account: "flood"}
+	m.Offer(epoch, first)
+	flood := make([]Ticket, 8)
+	for i := range flood {
+		flood[i] = Ticket{Rank: "low", Account: "flood"}
+		m.Offer(epoch, &flood[i])
+		require.Equal(t, Queued, flood[i].State())
+	}
+	other := &Ticket{Rank: "low", Account: "other"}
+	ts := m.Offer(epoch, other)
+	require.Equal(t, Queued, other.State())
+	require.Len(t, ts, 1)
+	require.Same(t, &flood[7], ts[0])
+	require.Equal(t, errEvicted, ts[0].Refusal())
+	ts = m.Done(epoch, first, 0)
+	require.Same(t, &flood[0], ts[0])
+	ts = m.Done(epoch, ts[0], 0)
+	require.Same(t, other, ts[0])
+}
+
+// TestNoStarvation guards every rank, even one without a floor of its own,
+// against a flood of any other rank.
+func TestNoStarvation(t *testing.T) {
+	ranks := testRanks[:3:3]
+	for i := range ranks {
+		for _, slots := range []int{1, 3, 20} {
+			s := newSim(Floors, true, 1, 1, 1)
+			s.conf.Slots, s.conf.Ranks = slots, append(ranks[:0:0], ranks...)
+			s.conf.Ranks[2].Floor = 0
+			s.real = func(time.Duration) int { return slots }
+			s.loads[i].rate *= 5
+			for name, o := range s.run() {
+				require.Positive(t, o.inTime, "flood of %s, %d slots, rank %s", ranks[i].Name, slots, name)
+			}
+		}
+	}
+}
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -241,19 +241,26 @@
 
 func (m *Machine) at(now time.Time) time.Duration { return now.Sub(m.epoch) }
 
-// rankOf returns the rank of t; the least urgent one if its name is unknown,
-// which happens while a configuration spreads.
+// rankOf returns the rank that t is queued in.
 func (m *Machine) rankOf(t *Ticket) *rank {
-	if len(m.ranks) == 0 {
-		return nil
+	if m.order == Arrival {
+		t.Account = ""
+		return m.rankNamed("")
 	}
-	if r := m.byName[t.Rank]; r != nil && m.order != Arrival {
+	return m.rankNamed(t.Rank)
+}
+
+// rankNamed returns the rank of the given name. It is the least urgent one if
+// the name is unknown, which happens while a configuration spreads, and nil
+// before the first configuration.
+func (m *Machine) rankNamed(name mesh.Rank) *rank {
+	if r := m.byName[name]; r != nil {
 		return r
 	}
-	if m.order == Arrival {
-		t.Account = ""
+	if n := len(m.ranks); n > 0 {
+		return m.ranks[n-1]
 	}
-	return m.ranks[len(m.ranks)-1]
+	return nil
 }
 
 // dispatch refuses what has expired and admits as much as the limit allows.
@@ -371,8 +378,12 @@
 // holds more than its share. It reports whether it did.
 func (m *Machine) displace(t *Ticket) bool {
 	q := &t.rank.queue
-	share := m.maxQueue / max(1, len(q.lines))
-	if q.lenOf(t.Account) >= share {
+	own, lines := q.lenOf(t.Account), len(q.lines)
+	if own == 0 {
+		lines++
+	}
+	share := m.maxQueue / lines
+	if own >= share {
 		return false
 	}
 	v := q.longerThan(share)
--- /dev/null
+++ b/internal/core/admit/machine_test.go
@@ -0,0 +1,168 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+func offer(m *Machine, at time.Duration, r mesh.Rank, deadline time.Duration) *Ticket {
+	t := &Ticket{Rank: r, Account: "a", Deadline: epoch.Add(at + deadline)}
+	m.Offer(epoch.Add(at), t)
+	return t
+}
+
+// TestRefusals guards against refusals of the wrong kind, or with a run state
+// other than not run.
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		prep func(*Machine)
+		rank mesh.Rank
+		left time.Duration
+		want *fault.Error
+	}{
+		{"deadline passed", func(*Machine) {}, "low", 0, errExpired},
+		{"draining", func(m *Machine) { m.Drain(epoch) }, "low", time.Second, errDraining},
+		{"short deadline behind a queue", func(m *Machine) {
+			for range 4 {
+				offer(m, 0, "low", time.Second)
+			}
+		}, "low", time.Millisecond, errWait},
+		{"full queue", func(m *Machine) {
+			for range 5 {
+				offer(m, 0, "low", time.Second)
+			}
+		}, "low", time.Second, errQueueFull},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := NewMachine(Config{Slots: 1, Ranks: testRanks, Queue: 4, Ramp: -1}, epoch)
+			c.prep(m)
+			tk := offer(m, 0, c.rank, c.left)
+			require.Equal(t, Refused, tk.State())
+			require.Same(t, c.want, tk.Refusal())
+			require.Equal(t, fault.NotRun, tk.Refusal().Run)
+		})
+	}
+	m := NewMachine(Config{Slots: 1}, epoch)
+	require.Same(t, errNoRanks, offer(m, 0, "low", time.Second).Refusal())
+}
+
+// TestExpiryInQueue guards against a request that is admitted after its
+// deadline, or left waiting beyond it.
+func TestExpiryInQueue(t *testing.T) {
+	m := NewMachine(Config{Slots: 1, Ranks: testRanks, Ramp: -1}, epoch)
+	run := offer(m, 0, "low", time.Minute)
+	long, short := offer(m, 0, "low", time.Minute), offer(m, 0, "low", time.Second)
+	ts := m.Tick(epoch.Add(time.Second))
+	require.Equal(t, []*Ticket{short}, ts)
+	require.Same(t, errExpired, short.Refusal())
+	require.Equal(t, []*Ticket{long}, m.Done(epoch.Add(2*time.Second), run, time.Second))
+}
+
+// TestRamp guards a cold backend server against all its slots being used at
+// once.
+func TestRamp(t *testing.T) {
+	m := NewMachine(Config{Slots: 20, Ranks: testRanks}, epoch)
+	for _, c := range []struct {
+		at   time.Duration
+		want int
+	}{{0, 5}, {time.Second, 8}, {2500 * time.Millisecond, 12}, {5 * time.Second, 20}, {time.Hour, 20}} {
+		require.Equal(t, c.want, m.Limit(epoch.Add(c.at)), c.at)
+	}
+	m.Restart(epoch.Add(time.Hour))
+	require.Equal(t, 5, m.Limit(epoch.Add(time.Hour)))
+}
+
+// TestSetRanks guards against tickets lost when a configuration removes or
+// reorders ranks.
+func TestSetRanks(t *testing.T) {
+	m := NewMachine(Config{Slots: 1, Ranks: testRanks, Ramp: -1}, epoch)
+	run := offer(m, 0, "urgent", time.Minute)
+	low, bulk := offer(m, 0, "low", time.Minute), offer(m, 0, "bulk", time.Minute)
+	m.SetRanks(epoch, testRanks[1:3])
+	require.Equal(t, 2, m.Queued())
+	require.Equal(t, 1, m.InFlight())
+	require.Equal(t, []*Ticket{low}, m.Done(epoch, run, 0))
+	require.Equal(t, []*Ticket{bulk}, m.Done(epoch, low, 0))
+	require.Empty(t, m.Done(epoch, bulk, 0))
+	require.Zero(t, m.InFlight())
+}
+
+// TestPressure guards callers against a pressure that does not tell a free gate
+// from a full or a refusing one, and against values that do not parse.
+func TestPressure(t *testing.T) {
+	m := NewMachine(Config{Slots: 2, Ranks: testRanks, Queue: 4, Ramp: -1}, epoch)
+	require.Zero(t, m.PressureOf(epoch, "urgent"))
+	offer(m, 0, "low", time.Minute)
+	require.Equal(t, 0.25, m.PressureOf(epoch, "urgent"))
+	for range 5 {
+		offer(m, 0, "low", time.Minute)
+	}
+	require.Equal(t, 1.0, m.PressureOf(epoch, "low"))
+	require.InDelta(t, 0.5, m.PressureOf(epoch, "urgent"), 0.1)
+	s := FormatPressure(m.Pressure(epoch, nil))
+	ps, err := ParsePressure(s)
+	require.NoError(t, err, s)
+	require.Len(t, ps, 4)
+	require.Equal(t, RankPressure{"low", 1}, ps[2])
+	for _, bad := range []string{"x", "x=2", "x=-1", "x=NaN", "X=1", ",", "a=1,"} {
+		_, err := ParsePressure(bad)
+		require.Error(t, err, bad)
+	}
+}
+
+// FuzzParsePressure guards against a header of a peer that panics the parser or
+// yields a value out of range.
+func FuzzParsePressure(f *testing.F) {
+	f.Add("urgent=0.5,bulk=1")
+	f.Fuzz(func(t *testing.T, s string) {
+		ps, err := ParsePressure(s)
+		if err != nil {
+			return
+		}
+		for _, p := range ps {
+			require.True(t, p.Value >= 0 && p.Value <= 1)
+		}
+	})
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	m := NewMachine(Config{Slots: 20, Ranks: testRanks, Ramp: -1}, epoch)
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		t := Ticket{Rank: "urgent", Account: "semarang"}
+		m.Offer(now, &t)
+		m.Done(now, &t, time.Millisecond)
+	}
+}
+
+// BenchmarkOfferDoneQueued measures a request that waits, behind a queue of
+// every rank and with a deadline.
+func BenchmarkOfferDoneQueued(b *testing.B) {
+	m := NewMachine(Config{Slots: 4, Ranks: testRanks, Ramp: -1}, epoch)
+	now := epoch
+	var running []*Ticket
+	for i := range 64 {
+		t := &Ticket{Rank: testRanks[i%4].Name, Account: mesh.ClientAccount(rune('a' + i%8)), Deadline: now.Add(time.Hour)}
+		if m.Offer(now, t); t.State() == Admitted {
+			running = append(running, t)
+		}
+	}
+	tickets := make([]Ticket, 1024)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Microsecond)
+		t := &tickets[i%len(tickets)]
+		*t = Ticket{Rank: "urgent", Account: "semarang", Deadline: now.Add(time.Hour)}
+		m.Offer(now, t)
+		done := running[0]
+		running = append(running[1:], m.Done(now, done, time.Millisecond)...)
+	}
+}
--- a/internal/core/admit/pressure.go
+++ b/internal/core/admit/pressure.go
@@ -29,6 +29,16 @@
 	return dst
 }
 
+// PressureOf returns the pressure of rank name, or that of the least urgent
+// rank if the name is unknown.
+func (m *Machine) PressureOf(now time.Time, name mesh.Rank) float64 {
+	r := m.rankNamed(name)
+	if r == nil {
+		return 1
+	}
+	return m.pressure(m.at(now), r)
+}
+
 func (m *Machine) pressure(at time.Duration, r *rank) float64 {
 	if m.draining {
 		return 1
