Hold the expected service time against deadline and target

A request was queued if its wait alone fitted into the target, so that under a flood nearly every urgent answer came a service time too late. The mean service time and twice its mean deviation are now added to the wait.

--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -348,7 +348,7 @@
 func (m *Machine) enqueue(at time.Duration, t *Ticket) {
 	r := t.rank
 	if m.order != Arrival {
-		wait := m.wait(at, r, r.queue.lenOf(t.Account))
+		wait := m.wait(at, r, r.queue.lenOf(t.Account)) + r.expectedService()
 		if t.deadline != noDeadline && wait > t.deadline-at {
 			t.refuse(errWait)
 			return
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/pkg/config"
@@ -17,6 +18,9 @@
 	// intervalWeight is the weight of a new sample in the mean time between
 	// two admissions from the queue.
 	intervalWeight = 1.0 / 16
+	// spreads is the number of mean deviations added to the mean service time
+	// when a request is held against its deadline and target.
+	spreads = 2
 	// initialService is the service time assumed before the first sample.
 	initialService = 10 * time.Millisecond
 	// saveUp is the time for which a rank with waiting work saves up its floor
@@ -37,6 +41,7 @@
 	credit   float64
 	refilled time.Duration // time of the last refill
 	service  float64       // mean service time in seconds
+	spread   float64       // mean deviation of the service time in seconds
 	interval float64       // mean seconds between two admissions from the queue
 	last     time.Duration // last admission from the queue, or start of waiting
 	merged   *rank         // rank that took over the tickets of a removed one
@@ -85,7 +90,14 @@
 func (r *rank) served(charged float64, d time.Duration) {
 	s := d.Seconds()
 	r.credit += charged - s
-	r.service += serviceWeight * (s - r.service)
+	diff := s - r.service
+	r.service += serviceWeight * diff
+	r.spread += serviceWeight * (math.Abs(diff) - r.spread)
+}
+
+// expectedService returns a service time that few requests exceed.
+func (r *rank) expectedService() time.Duration {
+	return time.Duration((r.service + spreads*r.spread) * float64(time.Second))
 }
 
 // dequeued records an admission from the queue.
