Smooth the time between admissions over 64 samples

With a weight of 1/16 the expected wait swings by a quarter, and a flood fills the queue whenever it dips, so the wait is too long on average.

--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -17,7 +17,7 @@
 	serviceWeight = 1.0 / 16
 	// intervalWeight is the weight of a new sample in the mean time between
 	// two admissions from the queue.
-	intervalWeight = 1.0 / 16
+	intervalWeight = 1.0 / 64
 	// spreads is the number of mean deviations added to the mean service time
 	// when a request is held against its deadline and target.
 	spreads = 2
