Add thin forms of the route and retry cores

Other parts of the request path wait for the shapes of route.Table, route.Picker and the retry decisions. Locks are per service, since a node serves a few hundred requests per second and a lock-free picker would complicate ejection.

--- /dev/null
+++ b/internal/core/retry/decide.go
@@ -0,0 +1,156 @@
+package retry
+
+import (
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+)
+
+// MaxDepth is the greatest number of mesh calls above a request.
+const MaxDepth = 20
+
+// leastRemaining is the remaining time below which no further attempt starts.
+const leastRemaining = 5 * time.Millisecond
+
+// Action is what to do after an attempt.
+type Action uint8
+
+// The actions.
+const (
+	Answer Action = iota // give the caller the outcome of the attempt
+	Retry                // send the request to another endpoint
+	Hedge                // send it to another endpoint while the first attempt runs
+)
+
+// String returns the lower-case name of a.
+func (a Action) String() string {
+	switch a {
+	case Answer:
+		return "answer"
+	case Retry:
+		return "retry"
+	case Hedge:
+		return "hedge"
+	}
+	return "invalid"
+}
+
+// Reason says why an attempt is repeated or not. Reasons are the names of
+// counters.
+type Reason string
+
+// The reasons of a repetition.
+const (
+	RetryNotRun     Reason = "not_run"    // proved not run
+	RetryFree       Reason = "free"       // cost the fleet nothing: draining or no connection
+	RetryIdempotent Reason = "idempotent" // may have run, but may run twice
+	HedgeSlow       Reason = "hedge"      // no response header within the hedge delay
+)
+
+// The reasons of a denial.
+const (
+	DenyAttempts Reason = "denied_attempts"  // all attempts of the route are used
+	DenyMayRun   Reason = "denied_may_run"   // not idempotent and may have run
+	DenyBody     Reason = "denied_body"      // the body cannot be sent again
+	DenyDeadline Reason = "denied_deadline"  // too little time is left
+	DenyDepth    Reason = "denied_depth"     // the caller is a backend server
+	DenyKind     Reason = "denied_kind"      // another endpoint would answer the same
+	DenyBudget   Reason = "denied_budget"    // the budget of the service is spent
+	DenyCanceled Reason = "denied_canceled"  // the caller went away
+	DenyEndpoint Reason = "denied_endpoints" // no endpoint is left
+)
+
+// State is what is known after a failed attempt.
+type State struct {
+	Idempotent bool          // of the route
+	Kind       fault.Kind    // of the refusal or failure
+	Run        fault.Run     // whether the request may have run
+	NoConn     bool          // no connection to the gate was made
+	Attempt    int           // number of the failed attempt, from 1
+	Attempts   int           // attempts that the route allows
+	Depth      int           // Lavenderrill-Depth on arrival; 0 from a client
+	Remaining  time.Duration // until the deadline
+	Replayable bool          // the body can be sent again
+	Canceled   bool          // the caller went away
+}
+
+// Verdict is a decision and the reason that is counted.
+type Verdict struct {
+	Action Action
+	Reason Reason
+}
+
+// Decide returns whether the request of s is sent again. It takes from b only
+// if all other conditions hold.
+func Decide(s State, b *Budget, now time.Time) Verdict {
+	free := s.Run == fault.NotRun && (s.NoConn || s.Kind == fault.Draining)
+	switch {
+	case s.Canceled:
+		return Verdict{Answer, DenyCanceled}
+	case s.Run != fault.NotRun && !s.Idempotent:
+		return Verdict{Answer, DenyMayRun}
+	case !retryable(s.Kind):
+		return Verdict{Answer, DenyKind}
+	case s.Attempt >= max(s.Attempts, freeAttempts(free)):
+		return Verdict{Answer, DenyAttempts}
+	case s.Depth > 0 && !free:
+		return Verdict{Answer, DenyDepth}
+	case s.Depth > 0 && s.Attempt >= 2:
+		return Verdict{Answer, DenyDepth}
+	case !s.Replayable:
+		return Verdict{Answer, DenyBody}
+	case s.Remaining < leastRemaining:
+		return Verdict{Answer, DenyDeadline}
+	case !b.Take(now):
+		return Verdict{Answer, DenyBudget}
+	}
+	switch {
+	case free:
+		return Verdict{Retry, RetryFree}
+	case s.Run == fault.NotRun:
+		return Verdict{Retry, RetryNotRun}
+	}
+	return Verdict{Retry, RetryIdempotent}
+}
+
+// freeAttempts is the least number of attempts: a request whose first attempt
+// cost the fleet nothing is sent once more even if its route allows a single
+// attempt, so that a drain is not seen by callers.
+func freeAttempts(free bool) int {
+	if free {
+		return 2
+	}
+	return 1
+}
+
+// retryable reports whether another endpoint may answer otherwise than with k.
+func retryable(k fault.Kind) bool {
+	switch k {
+	case fault.Overloaded, fault.Throttled, fault.Draining, fault.NoEndpoint,
+		fault.NotReady, fault.OutcomeUnknown, fault.DeadlineExceeded, fault.Internal:
+		return true
+	}
+	return false
+}
+
+// DecideHedge returns whether a second attempt starts while the first one of s
+// still runs. Kind, Run and NoConn of s are not used.
+func DecideHedge(s State, b *Budget, now time.Time) Verdict {
+	switch {
+	case s.Canceled:
+		return Verdict{Answer, DenyCanceled}
+	case !s.Idempotent:
+		return Verdict{Answer, DenyMayRun}
+	case s.Attempt >= s.Attempts:
+		return Verdict{Answer, DenyAttempts}
+	case s.Depth > 0:
+		return Verdict{Answer, DenyDepth}
+	case !s.Replayable:
+		return Verdict{Answer, DenyBody}
+	case s.Remaining < leastRemaining:
+		return Verdict{Answer, DenyDeadline}
+	case !b.Take(now):
+		return Verdict{Answer, DenyBudget}
+	}
+	return Verdict{Hedge, HedgeSlow}
+}
--- /dev/null
+++ b/internal/core/route/endpoint.go
@@ -0,0 +1,115 @@
+package route
+
+import (
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// class says how an endpoint may be used.
+type class uint8
+
+const (
+	closed   class = iota // no endpoint, starting, draining or left: never chosen
+	healthy               // alive and ready
+	doubtful              // suspect, dead or unhealthy: last known, tried cautiously
+)
+
+// classify returns the class of m.
+func classify(m *member.Member) class {
+	if m.Service == "" || m.Status == member.Left {
+		return closed
+	}
+	switch m.Endpoint {
+	case member.Ready:
+		if m.Status == member.Alive {
+			return healthy
+		}
+		return doubtful
+	case member.Unhealthy:
+		return doubtful
+	}
+	return closed
+}
+
+// Endpoint is one endpoint as the node sees it. The exported fields do not
+// change; the others are guarded by the lock of the service.
+type Endpoint struct {
+	ID      mesh.NodeID
+	Zone    mesh.AvailabilityZone
+	Addr    mesh.Addr // peer address of the gate
+	Service mesh.Service
+
+	svc         *service
+	class       class
+	state       member.EndpointState
+	status      member.Status
+	incarnation uint64
+	slots       float64 // at least 1
+	inflight    int
+	pressure    []pressureSample
+	obs         observations
+
+	drainedUntil time.Time // the gate refused with draining
+	ejectedUntil time.Time
+	probing      bool // back from ejection, not yet proved: one request at a time
+}
+
+// score orders endpoints: the share of the slots that this node would use,
+// plus the pressure of the rank.
+func (e *Endpoint) score(rank mesh.Rank, now time.Time) float64 {
+	return float64(e.inflight+1)/e.slots + e.pressureOf(rank, now)
+}
+
+// pressed reports whether e should be spared while endpoints of other
+// availability zones are free.
+func (e *Endpoint) pressed(rank mesh.Rank, now time.Time) bool {
+	return float64(e.inflight) >= e.slots || e.pressureOf(rank, now) >= spillPressure
+}
+
+func (e *Endpoint) update(m *member.Member) {
+	if m.Incarnation > e.incarnation {
+		e.drainedUntil = time.Time{}
+	}
+	e.class = classify(m)
+	e.state, e.status, e.incarnation = m.Endpoint, m.Status, m.Incarnation
+	e.slots = float64(max(m.Slots, 1))
+}
+
+// View describes an endpoint to operators.
+type View struct {
+	ID       mesh.NodeID           `json:"id"`
+	Zone     mesh.AvailabilityZone `json:"zone"`
+	Addr     mesh.Addr             `json:"addr"`
+	State    string                `json:"state"`
+	Status   string                `json:"status"`
+	Use      string                `json:"use"` // open, probing, ejected, draining, cautious or closed
+	InFlight int                   `json:"inflight"`
+	Slots    int                   `json:"slots"`
+	Pressure float64               `json:"pressure"`
+}
+
+func (e *Endpoint) view(rank mesh.Rank, now time.Time) View {
+	return View{
+		ID: e.ID, Zone: e.Zone, Addr: e.Addr,
+		State: e.state.String(), Status: e.status.String(), Use: e.use(now),
+		InFlight: e.inflight, Slots: int(e.slots), Pressure: e.pressureOf(rank, now),
+	}
+}
+
+func (e *Endpoint) use(now time.Time) string {
+	switch {
+	case e.class == closed:
+		return "closed"
+	case now.Before(e.drainedUntil):
+		return "draining"
+	case e.class == doubtful:
+		return "cautious"
+	case now.Before(e.ejectedUntil):
+		return "ejected"
+	case e.probing:
+		return "probing"
+	}
+	return "open"
+}
--- /dev/null
+++ b/internal/core/route/normal.go
@@ -0,0 +1,146 @@
+package route
+
+import (
+	"errors"
+	"net/url"
+	"strings"
+)
+
+// Errors of NormalHost and NormalPath.
+var (
+	ErrHost        = errors.New("host is not valid")
+	ErrPath        = errors.New("path is not absolute or holds an invalid character")
+	ErrDotSegment  = errors.New("path holds a dot segment")
+	ErrHiddenSlash = errors.New("path holds an encoded slash or a backslash")
+)
+
+// NormalHost returns the host of a Host header in the form in which routes
+// name it: lower case, without port and without final dot. It does not
+// allocate if host already has this form.
+func NormalHost(host string) (string, error) {
+	h := host
+	if strings.HasPrefix(h, "[") {
+		end := strings.IndexByte(h, ']')
+		if end < 2 || !validPort(h[end+1:]) {
+			return "", ErrHost
+		}
+		h = h[:end+1]
+	} else if i := strings.IndexByte(h, ':'); i >= 0 {
+		if !validPort(h[i:]) {
+			return "", ErrHost
+		}
+		h = h[:i]
+	}
+	h = strings.TrimSuffix(h, ".")
+	if h == "" {
+		return "", ErrHost
+	}
+	for i := 0; i < len(h); i++ {
+		if !validHostByte(h[i]) {
+			return "", ErrHost
+		}
+	}
+	return strings.ToLower(h), nil
+}
+
+// validPort reports whether s is empty or a colon followed by digits.
+func validPort(s string) bool {
+	if s == "" {
+		return true
+	}
+	if s[0] != ':' || len(s) > 6 {
+		return false
+	}
+	for _, c := range []byte(s[1:]) {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+func validHostByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' ||
+		c == '.' || c == '-' || c == '_' || c == ':' || c == '[' || c == ']'
+}
+
+// NormalPath returns the path by which a request with the given escaped path is
+// matched: decoded, with runs of slashes collapsed. Dot segments and encoded
+// slashes are refused and not resolved, since a backend server may resolve
+// them in another way and so serve a path of another route. NormalPath does
+// not allocate if the path is already normal.
+func NormalPath(escaped string) (string, error) {
+	if escaped == "" || escaped[0] != '/' {
+		return "", ErrPath
+	}
+	p := escaped
+	if strings.IndexByte(p, '%') >= 0 {
+		if hasHiddenSlash(p) {
+			return "", ErrHiddenSlash
+		}
+		d, err := url.PathUnescape(p)
+		if err != nil {
+			return "", ErrPath
+		}
+		p = d
+	}
+	double := false
+	start := 1
+	for i := 1; i <= len(p); i++ {
+		if i < len(p) {
+			switch c := p[i]; {
+			case c == '\\':
+				return "", ErrHiddenSlash
+			case c < 0x20 || c == 0x7f:
+				return "", ErrPath
+			case c != '/':
+				continue
+			}
+		}
+		switch seg := p[start:i]; {
+		case isDotSegment(seg):
+			return "", ErrDotSegment
+		case seg == "" && i < len(p):
+			double = true
+		}
+		start = i + 1
+	}
+	if double {
+		p = collapse(p)
+	}
+	return p, nil
+}
+
+// isDotSegment reports whether seg is a dot segment, with or without path
+// parameters: some servers strip ";x" before they resolve "..;x".
+func isDotSegment(seg string) bool {
+	if i := strings.IndexByte(seg, ';'); i >= 0 {
+		seg = seg[:i]
+	}
+	return seg == "." || seg == ".."
+}
+
+func hasHiddenSlash(p string) bool {
+	for i := 0; i+2 < len(p); i++ {
+		if p[i] != '%' {
+			continue
+		}
+		a, b := p[i+1], p[i+2]|0x20
+		if a == '2' && b == 'f' || a == '5' && b == 'c' {
+			return true
+		}
+	}
+	return false
+}
+
+func collapse(p string) string {
+	var b strings.Builder
+	b.Grow(len(p))
+	for i := 0; i < len(p); i++ {
+		if p[i] == '/' && i > 0 && p[i-1] == '/' {
+			continue
+		}
+		b.WriteByte(p[i])
+	}
+	return b.String()
+}
