Add the thin caller listener

It runs the whole chain: identify, route, limit, throttle and forward with retries, hedges and resumed downloads. Attempts run in the goroutine of the request unless the route hedges, since a goroutine per request costs latency. Most paths have no test yet; they follow in the same shape.

--- /dev/null
+++ b/internal/caller/attempt.go
@@ -0,0 +1,218 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/route"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// maxRefusal bounds the bytes read of the body of a refusal.
+const maxRefusal = 4 << 10
+
+// attempt is one request to one endpoint and its outcome: either a response or
+// a fault.
+type attempt struct {
+	endpoint *route.Endpoint
+	number   int
+	started  time.Time
+	latency  time.Duration // until the response header
+
+	resp       *http.Response
+	fault      *fault.Error
+	noConn     bool // nothing was sent
+	replayable bool // the body can be sent again
+}
+
+// try sends q to the endpoint of a and records the outcome. If it ends in a
+// fault the endpoint is given back to the picker, else a.resp must be closed
+// and the endpoint given back by finish.
+func (c *Caller) try(ctx context.Context, q *call, a *attempt) {
+	var r *bodyReader
+	if q.bodied {
+		r = q.body.open()
+	}
+	out := c.outgoing(q, a, r)
+	resp, sent, err := c.cfg.Pools.For(q.route.Policy.Bulk).RoundTrip(ctx, out)
+	a.latency = time.Since(a.started)
+	a.replayable = r == nil || r.seal()
+	var outcome route.Outcome
+	if err != nil {
+		a.noConn = sent == hop.NothingSent
+		outcome = c.failed(ctx, q, a, sent, err)
+	} else {
+		outcome = c.received(q, a, resp)
+	}
+	if a.fault != nil {
+		c.finish(q, a, outcome)
+	}
+}
+
+// finish gives the endpoint of a back to the picker.
+func (c *Caller) finish(q *call, a *attempt, o route.Outcome) {
+	if c.picker.Done(a.endpoint, o, q.rank(), a.latency, time.Now()) {
+		c.cfg.Log.Info("endpoint ejected",
+			zap.String("endpoint", string(a.endpoint.ID)),
+			zap.String("service", string(a.endpoint.Service)))
+	}
+}
+
+// outgoing returns the request of a to its gate.
+func (c *Caller) outgoing(q *call, a *attempt, r *bodyReader) *http.Request {
+	out := hop.Outgoing(q.in, a.endpoint.Addr)
+	h := out.Header
+	delete(h, "Expect")
+	if r != nil {
+		out.Body = r
+		if q.body.rest != nil {
+			// The gate asks for a streamed body only once it admits the
+			// request, so a refused request can be sent again.
+			h["Expect"] = continueValue
+		} else if len(q.in.Trailer) == 0 {
+			out.ContentLength = int64(len(q.body.buf))
+		}
+	}
+	if q.resume != nil {
+		q.resume.set(h)
+	}
+	remaining := max(q.deadline.Sub(a.started).Milliseconds(), 1)
+	vs := [...]string{
+		c.cfg.HopToken,
+		string(q.id),
+		strconv.FormatInt(remaining, 10),
+		strconv.Itoa(a.number),
+		strconv.Itoa(q.depth + 1),
+		strconv.FormatUint(uint64(q.table.Snapshot().Version), 10),
+		string(q.route.Policy.Name),
+		string(q.route.Account),
+		string(q.route.Service),
+		q.route.Name,
+	}
+	for i, k := range hopHeaderNames {
+		h[k] = vs[i : i+1 : i+1]
+	}
+	return out
+}
+
+var continueValue = []string{"100-continue"}
+
+// hopHeaderNames are the headers that outgoing sets, in its order. They are in
+// canonical form.
+var hopHeaderNames = [...]string{
+	mesh.HopHeader,
+	mesh.RequestHeader,
+	mesh.DeadlineHeader,
+	mesh.AttemptHeader,
+	mesh.DepthHeader,
+	mesh.VersionHeader,
+	mesh.RankHeader,
+	mesh.AccountHeader,
+	mesh.ServiceHeader,
+	mesh.RouteHeader,
+}
+
+// failed sets the fault of an attempt without response.
+func (c *Caller) failed(ctx context.Context, q *call, a *attempt, sent hop.Sent, err error) route.Outcome {
+	run := fault.Unknown
+	if sent == hop.NothingSent {
+		run = fault.NotRun
+	}
+	bodyErr := q.body.failure()
+	switch {
+	case bodyErr != nil:
+		a.fault = bodyFault(bodyErr, run)
+		return route.Canceled
+	case q.canceled():
+		a.fault = fault.New(fault.Canceled, "caller went away").WithRun(run)
+		return route.Canceled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		if run == fault.NotRun {
+			a.fault = fault.New(fault.DeadlineExceeded, "deadline passed before the request was sent")
+		} else {
+			a.fault = fault.New(fault.OutcomeUnknown, "deadline passed before the response")
+		}
+		return route.Failed
+	case ctx.Err() != nil: // another attempt of this request won
+		a.fault = fault.New(fault.Canceled, "another attempt was answered").WithRun(run)
+		return route.Canceled
+	case run == fault.NotRun:
+		a.fault = fault.Newf(fault.NoEndpoint, "no connection to the endpoint: %w", err)
+	default:
+		a.fault = fault.Newf(fault.OutcomeUnknown, "connection to the endpoint broke: %w", err)
+	}
+	return route.Failed
+}
+
+// received takes the response of a, or sets its fault if the response is a
+// refusal or answers another request.
+func (c *Caller) received(q *call, a *attempt, resp *http.Response) route.Outcome {
+	if got := resp.Header.Get(mesh.RequestHeader); got != string(q.id) {
+		resp.Body.Close()
+		c.crossed(q, a, got)
+		return route.Failed
+	}
+	if p := resp.Header.Get(mesh.PressureHeader); p != "" {
+		c.picker.Report(a.endpoint, p, a.started.Add(a.latency))
+	}
+	e := refusalOf(resp)
+	if e == nil {
+		a.resp = resp
+		return route.Success
+	}
+	defer resp.Body.Close()
+	readReason(e, resp.Body)
+	a.fault = e
+	a.latency = 0 // a quick refusal does not make an endpoint fast
+	switch e.Kind {
+	case fault.Draining:
+		return route.Drained
+	case fault.OutcomeUnknown, fault.Internal:
+		return route.Failed
+	}
+	return route.Success
+}
+
+// crossed handles a response that carries another request id. The transport
+// keeps the connection if the body was empty, so all idle ones are closed.
+func (c *Caller) crossed(q *call, a *attempt, got string) {
+	c.cfg.Metrics.InvariantBroken("request_id")
+	c.cfg.Log.Error("response carries another request id",
+		zap.String("request", string(q.id)), zap.String("got", got),
+		zap.String("endpoint", string(a.endpoint.ID)))
+	c.cfg.Pools.CloseIdle()
+	a.fault = fault.New(fault.OutcomeUnknown, "endpoint answered another request")
+}
+
+// refusalOf returns the refusal that resp carries, or nil. A 503 that says only
+// that nothing was run counts as overload.
+func refusalOf(resp *http.Response) *fault.Error {
+	if e := fault.FromHeader(resp.Header); e != nil {
+		return e
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && fault.Run(resp.Header.Get(fault.RunHeader)) == fault.NotRun {
+		return fault.New(fault.Overloaded, "backend server did not run the request")
+	}
+	return nil
+}
+
+// readReason sets the reason of e from the body of a refusal.
+func readReason(e *fault.Error, r io.Reader) {
+	b, err := io.ReadAll(io.LimitReader(r, maxRefusal))
+	if err != nil {
+		return
+	}
+	var body fault.Body
+	if json.Unmarshal(b, &body) == nil && body.Reason != "" {
+		e.Reason = body.Reason
+	}
+}
--- /dev/null
+++ b/internal/caller/body.go
@@ -0,0 +1,144 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+)
+
+// maxBuffered is the size in bytes up to which a request body is held for a
+// repetition.
+const maxBuffered = 64 << 10
+
+// errSealed is returned by reads of the body of an attempt that ended.
+var errSealed = errors.New("caller: attempt has ended")
+
+// body is a request body that several attempts can send. The first part is
+// held in memory. The rest, if any, can be read once: after an attempt has
+// begun to read it, the request cannot be repeated.
+type body struct {
+	buf  []byte
+	rest io.Reader // nil if buf is complete
+
+	mu    sync.Mutex
+	taken bool  // an attempt has begun to read rest
+	err   error // of reading rest, other than io.EOF
+}
+
+// load reads the body of q ahead, up to maxBuffered bytes. A body that is
+// declared larger is not read at all.
+func (c *Caller) load(q *call) *fault.Error {
+	in := q.in
+	if in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
+		return nil
+	}
+	q.bodied = true
+	hop.LimitBody(q.w, in, c.cfg.MaxBody)
+	if in.ContentLength > maxBuffered {
+		q.body.rest = in.Body
+		return nil
+	}
+	rc := http.NewResponseController(q.w)
+	_ = rc.SetReadDeadline(q.deadline)
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	size := in.ContentLength
+	if size < 0 {
+		return q.body.readAhead(in.Body)
+	}
+	q.body.buf = make([]byte, size)
+	if _, err := io.ReadFull(in.Body, q.body.buf); err != nil {
+		return bodyFault(err, fault.NotRun)
+	}
+	return nil
+}
+
+// readAhead reads r up to maxBuffered bytes and keeps it as the rest if more
+// follows.
+func (b *body) readAhead(r io.Reader) *fault.Error {
+	buf, err := io.ReadAll(io.LimitReader(r, maxBuffered+1))
+	if err != nil {
+		return bodyFault(err, fault.NotRun)
+	}
+	b.buf = buf
+	if len(buf) > maxBuffered {
+		b.rest = r
+	}
+	return nil
+}
+
+// bodyFault returns the refusal for an error of reading a request body.
+func bodyFault(err error, run fault.Run) *fault.Error {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return fault.Newf(fault.BodyTooLarge, "%w", err).WithRun(run)
+	}
+	return fault.Newf(fault.BadRequest, "reading the request body: %w", err).WithRun(run)
+}
+
+// open returns the body for one attempt.
+func (b *body) open() *bodyReader { return &bodyReader{b: b} }
+
+// failure returns the error of reading the rest, if any.
+func (b *body) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
+// bodyReader reads a body for one attempt. The transport may read it until
+// after the attempt has ended, so seal decides whether the rest was taken.
+type bodyReader struct {
+	b       *body
+	off     int
+	claimed bool
+	sealed  bool // guarded by b.mu
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.off < len(r.b.buf) {
+		n := copy(p, r.b.buf[r.off:])
+		r.off += n
+		return n, nil
+	}
+	if r.b.rest == nil {
+		return 0, io.EOF
+	}
+	if !r.claimed && !r.claim() {
+		return 0, errSealed
+	}
+	n, err := r.b.rest.Read(p)
+	if err != nil && err != io.EOF {
+		r.b.mu.Lock()
+		r.b.err = err
+		r.b.mu.Unlock()
+	}
+	return n, err
+}
+
+func (r *bodyReader) claim() bool {
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	if r.sealed || r.b.taken {
+		return false
+	}
+	r.b.taken, r.claimed = true, true
+	return true
+}
+
+// Close implements io.Closer. The server closes the caller's body.
+func (r *bodyReader) Close() error { return nil }
+
+// seal ends the reading of the rest by r and reports whether another attempt
+// can send the body.
+func (r *bodyReader) seal() bool {
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	r.sealed = true
+	return !r.b.taken
+}
--- /dev/null
+++ b/internal/caller/call.go
@@ -0,0 +1,50 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/route"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// call is one request of a caller on its way through the chain.
+type call struct {
+	w       http.ResponseWriter
+	in      *http.Request
+	arrived time.Time
+
+	id    mesh.RequestID
+	depth int // Lavenderrill-Depth on arrival
+
+	table    *route.Table // one table for the whole request
+	route    *route.Route
+	deadline time.Time
+	ctx      context.Context    // ends at the deadline
+	cancel   context.CancelFunc // of the deadline
+
+	body     body
+	bodied   bool // a request body exists
+	attempts int
+	tried    []*route.Endpoint
+	room     [3]*route.Endpoint // backs tried
+	losers   []context.CancelFunc
+	resume   *resumption // set while the rest of a cut response is requested
+}
+
+// end releases what the request holds.
+func (q *call) end() {
+	for _, cancel := range q.losers {
+		cancel()
+	}
+	if q.cancel != nil {
+		q.cancel()
+	}
+}
+
+// rank returns the name of the rank of q.
+func (q *call) rank() mesh.Rank { return q.route.Policy.Name }
+
+// canceled reports whether the caller went away.
+func (q *call) canceled() bool { return q.in.Context().Err() != nil }
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,171 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/retry"
+	"lavenderrill.dev/lavenderrill/internal/core/route"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// Defaults of Config.
+const (
+	defaultMaxHeader     = 32 << 10
+	defaultMaxBody       = 32 << 20
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = time.Minute
+	defaultDeadline      = 30 * time.Second
+	defaultLinger        = 500 * time.Millisecond
+)
+
+const (
+	refreshPeriod = 100 * time.Millisecond
+	sweepPeriod   = 30 * time.Second
+)
+
+// Config holds what a Caller is built from. ID, Snapshot and HopToken are
+// required; other zero fields get defaults.
+type Config struct {
+	ID       mesh.NodeID
+	Zone     mesh.AvailabilityZone
+	Snapshot func() *config.Snapshot // current configuration, nil before the first
+	HopToken string                  // authenticates requests to gates
+	Ready    func() bool             // whether callers may be served; always if nil
+	Metrics  *metric.Registry
+	Log      *zap.Logger
+
+	MaxHeader     int           // bytes of a request header
+	MaxBody       int64         // bytes of a request body
+	HeaderTimeout time.Duration // for reading a request header
+	IdleTimeout   time.Duration // of a kept connection
+	Deadline      time.Duration // of routes that have none
+	Linger        time.Duration // Drain keeps idle connections open for this time
+
+	Pools *hop.Pools // connections to gates
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxHeader, defaultMaxHeader)
+	setDefault(&c.MaxBody, defaultMaxBody)
+	setDefault(&c.HeaderTimeout, defaultHeaderTimeout)
+	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	setDefault(&c.Deadline, defaultDeadline)
+	setDefault(&c.Linger, defaultLinger)
+	if c.Ready == nil {
+		c.Ready = func() bool { return true }
+	}
+	if c.Metrics == nil {
+		c.Metrics = metric.New()
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Pools == nil {
+		c.Pools = hop.NewPools(hop.Config{}, hop.Config{})
+	}
+	return c
+}
+
+func setDefault[T int | int64 | time.Duration](p *T, d T) {
+	if *p <= 0 {
+		*p = d
+	}
+}
+
+// Caller serves callers and forwards their requests to gates.
+type Caller struct {
+	cfg    Config
+	picker *route.Picker
+	counts *counts
+	serve  endpoint.Endpoint
+	server *http.Server
+
+	budgets   retry.Budgets
+	throttles retry.Throttle
+	limits    retry.Limiter
+
+	table   atomic.Pointer[route.Table]
+	tableMu sync.Mutex // held while a table is built
+
+	draining atomic.Bool
+	active   atomic.Int64 // requests in flight
+	conns    atomic.Int64 // open connections of callers
+}
+
+// New returns a Caller for cfg. It has no endpoints until SetMembers is called.
+func New(cfg Config) *Caller {
+	c := &Caller{cfg: cfg.withDefaults()}
+	c.picker = route.NewPicker(route.PickerConfig{Zone: c.cfg.Zone})
+	c.counts = newCounts(c.cfg.Metrics)
+	c.cfg.Metrics.Gauge("caller_ejections", func() any { return c.picker.Ejections() })
+	c.cfg.Metrics.Gauge("caller_active", func() any { return c.active.Load() })
+	c.limits.SetNodes(1)
+	c.serve = c.chain()
+	c.server = c.newServer()
+	return c
+}
+
+// SetMembers replaces the members that endpoints are chosen from. Endpoints
+// that stay keep what is known of them.
+func (c *Caller) SetMembers(ms []member.Member) {
+	c.picker.Update(ms, time.Now())
+	alive := 0
+	for i := range ms {
+		if ms[i].Status == member.Alive {
+			alive++
+		}
+	}
+	c.limits.SetNodes(alive)
+}
+
+// Run keeps the routing table up to date and forgets unused limits until ctx
+// ends. It returns nil.
+func (c *Caller) Run(ctx context.Context) error {
+	refresh := time.NewTicker(refreshPeriod)
+	defer refresh.Stop()
+	sweep := time.NewTicker(sweepPeriod)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-refresh.C:
+			c.currentTable()
+		case now := <-sweep.C:
+			c.limits.Sweep(now)
+		}
+	}
+}
+
+// currentTable returns the table of the current snapshot, or nil without one.
+// While one request builds a new table, others use the previous one.
+func (c *Caller) currentTable() *route.Table {
+	s := c.cfg.Snapshot()
+	t := c.table.Load()
+	if s == nil || t != nil && t.Snapshot() == s {
+		return t
+	}
+	if t == nil {
+		c.tableMu.Lock()
+	} else if !c.tableMu.TryLock() {
+		return t
+	}
+	defer c.tableMu.Unlock()
+	if u := c.table.Load(); u != nil && u.Snapshot().Version >= s.Version {
+		return u
+	}
+	t = route.NewTable(s)
+	c.table.Store(t)
+	return t
+}
--- /dev/null
+++ b/internal/caller/forward.go
@@ -0,0 +1,105 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/retry"
+)
+
+// forward sends q to endpoints until one answers or no further attempt is
+// allowed. The attempt that it returns holds a response.
+func (c *Caller) forward(ctx context.Context, q *call) (*attempt, error) {
+	if e := c.load(q); e != nil {
+		return nil, e
+	}
+	q.tried = q.room[:0]
+	b := c.budgets.Of(q.route.Service)
+	b.Request(q.arrived)
+	var a *attempt
+	if c.mayHedge(q) {
+		a = c.hedged(ctx, q, b)
+	} else {
+		a = c.sequence(ctx, q, b)
+	}
+	c.throttles.Done(q.route.Service, q.rank(), !refusedForLoad(a.fault), time.Now())
+	if a.fault != nil {
+		return nil, a.fault
+	}
+	return a, nil
+}
+
+// refusedForLoad reports whether e says that the gate has no capacity for the
+// rank.
+func refusedForLoad(e *fault.Error) bool {
+	if e == nil {
+		return false
+	}
+	return e.Kind == fault.Overloaded || e.Kind == fault.Throttled ||
+		e.Kind == fault.DeadlineExceeded && e.Run == fault.NotRun
+}
+
+// sequence makes one attempt after the other.
+func (c *Caller) sequence(ctx context.Context, q *call, b *retry.Budget) *attempt {
+	var last *attempt
+	for {
+		a := c.pick(q)
+		if a == nil {
+			return c.noEndpoint(last)
+		}
+		c.try(ctx, q, a)
+		if a.fault == nil {
+			return a
+		}
+		if !c.decide(q, a, b) {
+			return a
+		}
+		last = a
+	}
+}
+
+// noEndpoint returns the outcome when no endpoint is left: that of the last
+// attempt, if any.
+func (c *Caller) noEndpoint(last *attempt) *attempt {
+	if last != nil {
+		c.counts.retries.Add(string(retry.DenyEndpoint), 1)
+		return last
+	}
+	return &attempt{fault: fault.New(fault.NoEndpoint, "service has no endpoint that takes requests")}
+}
+
+// decide reports whether q is sent again after the failed attempt a.
+func (c *Caller) decide(q *call, a *attempt, b *retry.Budget) bool {
+	now := time.Now()
+	s := q.state(now)
+	s.Kind, s.Run, s.NoConn = a.fault.Kind, a.fault.Run, a.noConn
+	s.Replayable = a.replayable
+	v := retry.Decide(s, b, now)
+	c.counts.retries.Add(string(v.Reason), 1)
+	return v.Action == retry.Retry
+}
+
+// state returns what is known of q for a retry decision.
+func (q *call) state(now time.Time) retry.State {
+	return retry.State{
+		Idempotent: q.route.Idempotent,
+		Attempt:    q.attempts,
+		Attempts:   q.route.Retry.Attempts,
+		Depth:      q.depth,
+		Remaining:  q.deadline.Sub(now),
+		Canceled:   q.canceled(),
+	}
+}
+
+// pick starts the next attempt of q, or returns nil if no endpoint is left.
+func (c *Caller) pick(q *call) *attempt {
+	now := time.Now()
+	e := c.picker.Pick(q.route.Service, q.rank(), q.tried, now)
+	if e == nil {
+		return nil
+	}
+	q.tried = append(q.tried, e)
+	q.attempts++
+	return &attempt{endpoint: e, number: q.attempts, started: now}
+}
--- /dev/null
+++ b/internal/caller/harness_test.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const testToken = "token-of-the-test"
+
+// gate is a stand-in for the gate of one endpoint.
+type gate struct {
+	*httptest.Server
+	hits atomic.Int64
+	id   mesh.NodeID
+}
+
+// newGate starts a gate that echoes the request id and runs f.
+func newGate(t testing.TB, id string, f http.HandlerFunc) *gate {
+	g := &gate{id: mesh.NodeID(id)}
+	g.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.hits.Add(1)
+		w.Header().Set(mesh.RequestHeader, r.Header.Get(mesh.RequestHeader))
+		f(w, r)
+	}))
+	t.Cleanup(g.Close)
+	return g
+}
+
+func (g *gate) member() member.Member {
+	return member.Member{
+		ID: g.id, Zone: "a", Addr: mesh.Addr(g.Listener.Addr().String()),
+		Service: "s", Slots: 20, Endpoint: member.Ready, Incarnation: 1,
+	}
+}
+
+// refusing returns a handler that refuses with k.
+func refusing(k fault.Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) { fault.Write(w, fault.New(k, "test"), "") }
+}
+
+// cut closes the connection without a response.
+func cut(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+func echo(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+
+// testRoutes has a route of each kind.
+func testSnapshot() *config.Snapshot {
+	base := config.Route{Account: "acc", Host: "h.example", Service: "s", Rank: "urgent", Deadline: 5 * time.Second, Retry: config.RetryPolicy{Attempts: 3}}
+	with := func(name, path string, f func(*config.Route)) config.Route {
+		r := base
+		r.Name, r.Path = name, path
+		f(&r)
+		return r
+	}
+	return &config.Snapshot{
+		Version:  7,
+		Ranks:    []config.RankPolicy{{Name: "urgent", Target: 150 * time.Millisecond}, {Name: "bulk", Target: 10 * time.Second, Bulk: true}},
+		Services: map[mesh.Service]config.ServicePolicy{"s": {Name: "s", Slots: 20, Connections: 110}},
+		Routes: []config.Route{
+			with("book", "/book", func(r *config.Route) { r.Methods = []string{"POST"} }),
+			with("read", "/read", func(r *config.Route) { r.Idempotent = true }),
+			with("once", "/once", func(r *config.Route) { r.Retry.Attempts = 1 }),
+			with("short", "/short", func(r *config.Route) { r.Deadline = 100 * time.Millisecond }),
+			with("hedge", "/hedge", func(r *config.Route) { r.Idempotent, r.Retry.Hedge = true, 20*time.Millisecond }),
+			with("limited", "/limited", func(r *config.Route) { r.Rate = 2 }),
+			with("guide", "/guide", func(r *config.Route) { r.Idempotent, r.Rank = true, "bulk" }),
+		},
+	}
+}
+
+// bench is a Caller in front of gates.
+type bench struct {
+	*Caller
+	t   testing.TB
+	url string
+	reg *metric.Registry
+}
+
+func newBench(t testing.TB, gates ...*gate) *bench {
+	s := testSnapshot()
+	reg := metric.New()
+	c := New(Config{ID: "n0", Zone: "a", Snapshot: func() *config.Snapshot { return s }, HopToken: testToken, Metrics: reg, Linger: 50 * time.Millisecond})
+	var ms []member.Member
+	for _, g := range gates {
+		ms = append(ms, g.member())
+	}
+	c.SetMembers(ms)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- c.Server().Serve(l) }()
+	t.Cleanup(func() {
+		c.Server().Close()
+		require.ErrorIs(t, <-ended, http.ErrServerClosed)
+	})
+	return &bench{Caller: c, t: t, url: "http://" + l.Addr().String(), reg: reg}
+}
+
+// answer is a response that was read to its end.
+type answer struct {
+	code   int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (a answer) kind() fault.Kind { return fault.Kind(a.header.Get(fault.KindHeader)) }
+func (a answer) run() fault.Run   { return fault.Run(a.header.Get(fault.RunHeader)) }
+
+// do sends a request and returns the answer.
+func (b *bench) do(method, path, body string, header ...string) answer {
+	b.t.Helper()
+	r, err := http.NewRequest(method, b.url+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	r.Host = "h.example"
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(b.t, err)
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(got), err}
+}
--- /dev/null
+++ b/internal/caller/identify.go
@@ -0,0 +1,95 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/retry"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	reservedPrefix = "Lavenderrill-"
+	maxID          = 64 // characters of a request id of a caller
+)
+
+// identify gives q its request id and depth, removes reserved headers, and
+// refuses what cannot be forwarded.
+func (c *Caller) identify(ctx context.Context, q *call) (context.Context, error) {
+	h := q.in.Header
+	q.id = requestID(h.Get(mesh.RequestHeader))
+	q.w.Header()[mesh.RequestHeader] = []string{string(q.id)}
+	depth, deadline := h.Get(mesh.DepthHeader), h.Get(mesh.DeadlineHeader)
+	removeReserved(h)
+	if !c.cfg.Ready() {
+		return ctx, fault.New(fault.NotReady, "node is not ready")
+	}
+	if e := hop.Check(q.in, c.cfg.MaxBody); e != nil {
+		return ctx, e
+	}
+	n, err := number(depth)
+	if err != nil {
+		return ctx, fault.New(fault.BadRequest, mesh.DepthHeader+" is not a number")
+	}
+	if n+1 > retry.MaxDepth {
+		return ctx, fault.Newf(fault.DepthExceeded, "call is more than %d levels deep", retry.MaxDepth)
+	}
+	q.depth = n
+	ms, err := number(deadline)
+	if err != nil {
+		return ctx, fault.New(fault.BadRequest, mesh.DeadlineHeader+" is not a number")
+	}
+	if deadline != "" {
+		q.deadline = q.arrived.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return ctx, nil
+}
+
+// requestID returns s if it is a valid request id, else a new one.
+func requestID(s string) mesh.RequestID {
+	if validID(s) {
+		return mesh.RequestID(s)
+	}
+	return mesh.RequestID(uuid.NewString())
+}
+
+func validID(s string) bool {
+	if s == "" || len(s) > maxID {
+		return false
+	}
+	for _, c := range []byte(s) {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		case c == '-', c == '_', c == '.', c == ':':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// removeReserved deletes all headers of the mesh. Those that a caller may set
+// were read before.
+func removeReserved(h http.Header) {
+	for k := range h {
+		if strings.HasPrefix(k, reservedPrefix) {
+			delete(h, k)
+		}
+	}
+}
+
+// number parses a count of at most nine digits; an empty s is 0.
+func number(s string) (int, error) {
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 30)
+	return int(n), err
+}
--- /dev/null
+++ b/internal/caller/respond.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/route"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// refuse answers q with e.
+func (c *Caller) refuse(q *call, e *fault.Error) {
+	c.counts.refused.Add(string(e.Kind), 1)
+	if q.route != nil {
+		c.counts.rank(q.rank()).done(q, false)
+		q.setVersion()
+	}
+	if e.Kind == fault.Canceled {
+		panic(http.ErrAbortHandler) // nobody is left to read the answer
+	}
+	c.cfg.Log.Debug("request refused", zap.String("request", string(q.id)),
+		zap.String("kind", string(e.Kind)), zap.String("reason", e.Reason))
+	fault.Write(q.w, e, q.id)
+}
+
+func (q *call) setVersion() {
+	v := strconv.FormatUint(uint64(q.table.Snapshot().Version), 10)
+	q.w.Header()[mesh.VersionHeader] = []string{v}
+}
+
+// respond passes the response of a to the caller. If its body does not arrive
+// complete, the answer is aborted, so that it never ends cleanly.
+func (c *Caller) respond(q *call, a *attempt) {
+	resp := a.resp
+	delete(resp.Header, mesh.RequestHeader) // set by identify
+	removeReserved(resp.Header)
+	q.setVersion()
+	// A caller that does not read must not hold the request for ever.
+	rc := http.NewResponseController(q.w)
+	_ = rc.SetWriteDeadline(q.deadline.Add(writeGrace))
+	hop.CopyHeader(q.w, resp)
+	a, err := c.copyBody(q, a)
+	a.resp.Body.Close()
+	o := route.Success
+	switch {
+	case errors.Is(err, hop.ErrRead) && !q.canceled():
+		o = route.Failed
+	case err != nil:
+		o = route.Canceled
+	case resp.StatusCode >= http.StatusInternalServerError:
+		o = route.Failed
+	}
+	c.finish(q, a, o)
+	c.counts.rank(q.rank()).done(q, err == nil && resp.StatusCode < http.StatusInternalServerError)
+	if err != nil {
+		c.counts.aborted.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	hop.CopyTrailer(q.w, resp)
+}
+
+// writeGrace is the time after the deadline in which the rest of an answer may
+// still be written to the caller.
+const writeGrace = time.Second
+
+// copyBody copies the body of a to the caller and resumes it where that is
+// allowed. It returns the attempt that is still to be finished.
+func (c *Caller) copyBody(q *call, a *attempt) (*attempt, error) {
+	res := newResumption(q, a.resp)
+	flush := hop.Streaming(a.resp)
+	for {
+		n, err := hop.CopyBody(q.w, a.resp.Body, flush)
+		res.offset += n
+		if err == nil || !errors.Is(err, hop.ErrRead) || !res.allowed(n) {
+			return a, err
+		}
+		next := c.resume(q, res)
+		if next == nil {
+			return a, err
+		}
+		a.resp.Body.Close()
+		c.finish(q, a, route.Failed)
+		a = next
+	}
+}
--- /dev/null
+++ b/internal/caller/resume.go
@@ -0,0 +1,118 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/route"
+)
+
+// maxResumes bounds the resumptions of one response.
+const maxResumes = 5
+
+// resumption is the state of a download that may be resumed by range.
+type resumption struct {
+	etag   string
+	size   int64 // of the whole body; -1 if unknown
+	offset int64 // bytes passed to the caller
+	count  int
+	can    bool
+}
+
+// newResumption returns the state for resp. Only a complete representation with
+// a strong entity tag can be resumed: its bytes are the same everywhere.
+func newResumption(q *call, resp *http.Response) *resumption {
+	etag := resp.Header.Get("Etag")
+	return &resumption{
+		etag: etag,
+		size: resp.ContentLength,
+		can: q.in.Method == http.MethodGet && resp.StatusCode == http.StatusOK &&
+			len(etag) > 2 && etag[0] == '"' && q.in.Header.Get("Range") == "",
+	}
+}
+
+// allowed reports whether a cut after n further bytes may be resumed.
+func (r *resumption) allowed(n int64) bool {
+	return r.can && r.count < maxResumes && (n > 0 || r.count == 0)
+}
+
+// resume requests the rest of the body from any endpoint, and returns nil if
+// none has it.
+func (c *Caller) resume(q *call, r *resumption) *attempt {
+	r.count++
+	now := time.Now()
+	if q.canceled() || !now.Before(q.deadline) || !c.budgets.Of(q.route.Service).Take(now) {
+		c.counts.resumes.Add("denied", 1)
+		return nil
+	}
+	a := c.pick(q)
+	if a == nil { // all were tried: any of them will do
+		q.tried = q.tried[:0]
+		if a = c.pick(q); a == nil {
+			c.counts.resumes.Add("no_endpoint", 1)
+			return nil
+		}
+	}
+	q.resume = r
+	c.try(q.ctx, q, a)
+	if a.fault != nil {
+		c.counts.resumes.Add("failed", 1)
+		return nil
+	}
+	if err := r.check(a.resp); err != nil {
+		a.resp.Body.Close()
+		c.finish(q, a, route.Success)
+		c.counts.resumes.Add("mismatch", 1)
+		return nil
+	}
+	c.counts.resumes.Add("resumed", 1)
+	return a
+}
+
+// set adds the range of the rest to the header of a request.
+func (r *resumption) set(h http.Header) {
+	h["Range"] = []string{"bytes=" + strconv.FormatInt(r.offset, 10) + "-"}
+	h["If-Range"] = []string{r.etag}
+}
+
+// check returns an error unless resp continues the body at the offset.
+func (r *resumption) check(resp *http.Response) error {
+	if resp.StatusCode != http.StatusPartialContent {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if got := resp.Header.Get("Etag"); got != r.etag {
+		return fmt.Errorf("entity tag %q, want %q", got, r.etag)
+	}
+	first, last, size, err := contentRange(resp.Header.Get("Content-Range"))
+	if err != nil {
+		return err
+	}
+	if first != r.offset || last+1 != size || r.size >= 0 && size != r.size {
+		return fmt.Errorf("range %d-%d/%d, want %d- of %d", first, last, size, r.offset, r.size)
+	}
+	return nil
+}
+
+// contentRange parses the value of a Content-Range header with known size.
+func contentRange(s string) (first, last, size int64, err error) {
+	rest, ok := strings.CutPrefix(s, "bytes ")
+	a, total, ok2 := strings.Cut(rest, "/")
+	b, e, ok3 := strings.Cut(a, "-")
+	if !ok || !ok2 || !ok3 {
+		return 0, 0, 0, fmt.Errorf("content range %q is not valid", s)
+	}
+	for _, f := range []struct {
+		text string
+		to   *int64
+	}{{b, &first}, {e, &last}, {total, &size}} {
+		v, err := strconv.ParseUint(f.text, 10, 63)
+		if err != nil {
+			return 0, 0, 0, fmt.Errorf("content range %q: %w", s, err)
+		}
+		*f.to = int64(v)
+	}
+	return first, last, size, nil
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,93 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+)
+
+const (
+	maxStreams   = 250 // concurrent requests of one HTTP/2 connection
+	drainPoll    = 10 * time.Millisecond
+	drainLogName = "caller drained"
+)
+
+// Server returns the server for callers: HTTP/1.1 and cleartext HTTP/2 with
+// bounds on headers, bodies and waiting times. The owner passes it a listener
+// and calls Drain to stop it.
+func (c *Caller) Server() *http.Server { return c.server }
+
+func (c *Caller) newServer() *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           c.Handler(),
+		Protocols:         p,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ReadHeaderTimeout: c.cfg.HeaderTimeout,
+		IdleTimeout:       c.cfg.IdleTimeout,
+		MaxHeaderBytes:    c.cfg.MaxHeader,
+		ErrorLog:          zap.NewStdLog(c.cfg.Log),
+		ConnState:         c.connState,
+	}
+}
+
+func (c *Caller) connState(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		c.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.conns.Add(-1)
+	}
+}
+
+// Handler returns the handler for requests of callers.
+func (c *Caller) Handler() http.Handler { return http.HandlerFunc(c.handle) }
+
+func (c *Caller) handle(w http.ResponseWriter, r *http.Request) {
+	c.active.Add(1)
+	defer c.active.Add(-1)
+	if c.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &call{w: w, in: r, arrived: time.Now()}
+	defer q.end()
+	a, err := invoke[*attempt](r.Context(), c.serve, q)
+	if err != nil {
+		c.refuse(q, fault.From(err))
+		return
+	}
+	c.respond(q, a)
+}
+
+// Drain stops the server without interrupting a request: from now on kept
+// connections are told to close with their next response, and idle ones are
+// closed after a short time. Drain returns when no request is in flight or ctx
+// ends.
+func (c *Caller) Drain(ctx context.Context) error {
+	c.draining.Store(true)
+	linger := time.NewTimer(c.cfg.Linger)
+	defer linger.Stop()
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for waiting := true; waiting && c.conns.Load() > 0; {
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), c.server.Close())
+		case <-linger.C:
+			waiting = false
+		case <-poll.C:
+		}
+	}
+	err := c.server.Shutdown(ctx)
+	c.cfg.Pools.CloseIdle()
+	c.cfg.Log.Info(drainLogName, zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/internal/caller/steps.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/retry"
+	"lavenderrill.dev/lavenderrill/internal/core/route"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+)
+
+// route matches q and sets its deadline.
+func (c *Caller) route(ctx context.Context, q *call) (context.Context, error) {
+	q.table = c.currentTable()
+	if q.table == nil {
+		return ctx, fault.New(fault.NotReady, "node holds no configuration")
+	}
+	r, allow, e := match(q.table, q.in)
+	if e != nil {
+		if len(allow) > 0 {
+			q.w.Header().Set("Allow", strings.Join(allow, ", "))
+		}
+		return ctx, e
+	}
+	q.route = r
+	limit := r.Deadline
+	if limit <= 0 {
+		limit = c.cfg.Deadline
+	}
+	if d := q.arrived.Add(limit); q.deadline.IsZero() || d.Before(q.deadline) {
+		q.deadline = d
+	}
+	q.ctx, q.cancel = context.WithDeadline(ctx, q.deadline)
+	return q.ctx, nil
+}
+
+// match returns the route of r, or the refusal and the methods of the path.
+func match(t *route.Table, r *http.Request) (*route.Route, []string, *fault.Error) {
+	host, err := route.NormalHost(r.Host)
+	if err != nil {
+		return nil, nil, fault.Newf(fault.BadRequest, "%w", err)
+	}
+	path, err := route.NormalURL(r.URL)
+	if err != nil {
+		return nil, nil, fault.Newf(fault.BadRequest, "%w", err)
+	}
+	m := t.Match(r.Method, host, path)
+	switch {
+	case m.Route != nil:
+		return m.Route, nil, nil
+	case len(m.Allow) > 0:
+		return nil, m.Allow, fault.New(fault.MethodNotAllowed, "route does not allow the method")
+	}
+	return nil, nil, fault.New(fault.NoRoute, "no route matches host and path")
+}
+
+// limit applies the rate of the client account.
+func (c *Caller) limit(ctx context.Context, q *call) (context.Context, error) {
+	r := q.route
+	if r.Rate <= 0 {
+		return ctx, nil
+	}
+	ok, wait := c.limits.Allow(retry.LimitKey{Account: r.Account, Route: r.Name}, r.Rate, q.arrived)
+	if ok {
+		return ctx, nil
+	}
+	q.w.Header().Set("Retry-After", retryAfter(wait))
+	return ctx, fault.New(fault.RateLimited, "client account exceeds the rate of the route")
+}
+
+// retryAfter returns wait in whole seconds, rounded up.
+func retryAfter(wait time.Duration) string {
+	return strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10)
+}
+
+// throttle refuses a share of the requests that gates would refuse.
+func (c *Caller) throttle(ctx context.Context, q *call) (context.Context, error) {
+	s, rank := q.route.Service, q.rank()
+	pressed := func() bool { return c.picker.Pressure(s, rank, q.arrived) >= throttlePressure }
+	if c.throttles.Allow(s, rank, q.arrived, pressed) {
+		return ctx, nil
+	}
+	return ctx, fault.New(fault.Throttled, "all endpoints sampled report pressure for the rank")
+}
+
+// throttlePressure is the pressure at every endpoint from which requests are
+// refused early.
+const throttlePressure = 0.5
+
+// Explain returns the route that a request would take and the endpoints of its
+// service, or the refusal it would get.
+func (c *Caller) Explain(method, host, path string) (*config.Route, []route.View, *fault.Error) {
+	t := c.currentTable()
+	if t == nil {
+		return nil, nil, fault.New(fault.NotReady, "node holds no configuration")
+	}
+	r, err := http.NewRequest(method, path, nil)
+	if err != nil {
+		return nil, nil, fault.Newf(fault.BadRequest, "%w", errors.Unwrap(err))
+	}
+	r.Host = host
+	m, _, e := match(t, r)
+	if e != nil {
+		return nil, nil, e
+	}
+	vs := c.picker.Endpoints(m.Service, m.Policy.Name, time.Now())
+	if len(vs) == 0 {
+		e = fault.New(fault.NoEndpoint, "service has no endpoint")
+	}
+	return m.Route, vs, e
+}
--- a/internal/core/route/normal.go
+++ b/internal/core/route/normal.go
@@ -84,6 +84,24 @@
 		}
 		p = d
 	}
+	return normal(p)
+}
+
+// NormalURL is NormalPath for the path of u.
+func NormalURL(u *url.URL) (string, error) {
+	if u.RawPath != "" {
+		return NormalPath(u.RawPath)
+	}
+	// Without a RawPath the path was sent in the default encoding, which leaves
+	// no slash encoded.
+	if u.Path == "" || u.Path[0] != '/' {
+		return "", ErrPath
+	}
+	return normal(u.Path)
+}
+
+// normal checks the decoded path p and collapses runs of slashes.
+func normal(p string) (string, error) {
 	double := false
 	start := 1
 	for i := 1; i <= len(p); i++ {
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -213,7 +213,7 @@
 }
 
 func (e *Endpoint) usable(tried []*Endpoint) bool {
-	return !(e.probing && e.inflight > 0) && !slices.Contains(tried, e)
+	return (!e.probing || e.inflight == 0) && !slices.Contains(tried, e)
 }
 
 // cautious returns a last known endpoint without request in flight, if
@@ -270,13 +270,6 @@
 	return true
 }
 
-// Report records the pressure that the gate of e reported.
-func (p *Picker) Report(e *Endpoint, ps []Pressure, now time.Time) {
-	e.svc.mu.Lock()
-	defer e.svc.mu.Unlock()
-	e.setPressure(ps, now)
-}
-
 // Ejections returns the number of ejections so far.
 func (p *Picker) Ejections() int64 { return p.ejected.Load() }
 
--- a/internal/core/route/pressure.go
+++ b/internal/core/route/pressure.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -14,14 +16,11 @@
 	spillPressure = 0.5
 	// pressedSample is the number of endpoints that Pressure looks at.
 	pressedSample = 32
+	// maxRanks bounds the ranks kept per endpoint; those of earlier
+	// configurations stay until the endpoint leaves.
+	maxRanks = 64
 )
 
-// Pressure is the pressure that a gate reports for one rank.
-type Pressure struct {
-	Rank  mesh.Rank
-	Value float64 // 0 is free, 1 is full
-}
-
 type pressureSample struct {
 	rank  mesh.Rank
 	value float64
@@ -45,16 +44,32 @@
 	return 0
 }
 
-func (e *Endpoint) setPressure(ps []Pressure, now time.Time) {
-next:
-	for _, p := range ps {
-		for i := range e.pressure {
-			if e.pressure[i].rank == p.Rank {
-				e.pressure[i].value, e.pressure[i].at = p.Value, now
-				continue next
-			}
+func (e *Endpoint) setPressure(rank string, v float64, now time.Time) {
+	for i := range e.pressure {
+		if s := &e.pressure[i]; string(s.rank) == rank {
+			s.value, s.at = v, now
+			return
+		}
+	}
+	if len(e.pressure) < maxRanks {
+		e.pressure = append(e.pressure, pressureSample{mesh.Rank(strings.Clone(rank)), v, now})
+	}
+}
+
+// Report records the pressures of a Lavenderrill-Pressure header that the gate
+// of e sent, such as "urgent=0.5,bulk=1" (see admit.FormatPressure). Items that
+// are not valid are ignored: pressure is a hint.
+func (p *Picker) Report(e *Endpoint, header string, now time.Time) {
+	e.svc.mu.Lock()
+	defer e.svc.mu.Unlock()
+	for header != "" {
+		var item string
+		item, header, _ = strings.Cut(header, ",")
+		rank, value, ok := strings.Cut(item, "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if ok && err == nil && v >= 0 && v <= 1 {
+			e.setPressure(rank, v, now)
 		}
-		e.pressure = append(e.pressure, pressureSample{p.Rank, p.Value, now})
 	}
 }
 
