Test the route and retry cores and exempt free repetitions

The first repetition after draining or a refused connection no longer takes from the retry budget: it cost the fleet nothing, and with a failed rack more requests than the budget's 20% meet a refused connection.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -25,6 +25,7 @@
 	defaultMaxBody       = 32 << 20
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = time.Minute
+	defaultWriteTimeout  = time.Minute
 	defaultDeadline      = 30 * time.Second
 	defaultLinger        = 500 * time.Millisecond
 )
@@ -49,6 +50,7 @@
 	MaxBody       int64         // bytes of a request body
 	HeaderTimeout time.Duration // for reading a request header
 	IdleTimeout   time.Duration // of a kept connection
+	WriteTimeout  time.Duration // for answers that set no other
 	Deadline      time.Duration // of routes that have none
 	Linger        time.Duration // Drain keeps idle connections open for this time
 
@@ -60,6 +62,7 @@
 	setDefault(&c.MaxBody, defaultMaxBody)
 	setDefault(&c.HeaderTimeout, defaultHeaderTimeout)
 	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	setDefault(&c.WriteTimeout, defaultWriteTimeout)
 	setDefault(&c.Deadline, defaultDeadline)
 	setDefault(&c.Linger, defaultLinger)
 	if c.Ready == nil {
--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -34,6 +34,10 @@
 	if e := hop.Check(q.in, c.cfg.MaxBody); e != nil {
 		return ctx, e
 	}
+	if q.in.Method == http.MethodTrace {
+		// The answer to TRACE would show the header of the hop, with its token.
+		return ctx, fault.New(fault.MethodNotAllowed, "TRACE is not supported")
+	}
 	n, err := number(depth)
 	if err != nil {
 		return ctx, fault.New(fault.BadRequest, mesh.DepthHeader+" is not a number")
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -41,9 +41,7 @@
 	delete(resp.Header, mesh.RequestHeader) // set by identify
 	removeReserved(resp.Header)
 	q.setVersion()
-	// A caller that does not read must not hold the request for ever.
-	rc := http.NewResponseController(q.w)
-	_ = rc.SetWriteDeadline(q.deadline.Add(writeGrace))
+	c.limitWrites(q, resp)
 	hop.CopyHeader(q.w, resp)
 	a, err := c.copyBody(q, a)
 	a.resp.Body.Close()
@@ -65,9 +63,25 @@
 	hop.CopyTrailer(q.w, resp)
 }
 
-// writeGrace is the time after the deadline in which the rest of an answer may
-// still be written to the caller.
-const writeGrace = time.Second
+const (
+	// writeGrace is the time after the deadline in which the rest of an answer
+	// may still be written to the caller.
+	writeGrace = time.Second
+	// smallBody is the size in bytes of a body that fits the socket's buffer,
+	// so that writing it does not wait for the caller.
+	smallBody = 32 << 10
+)
+
+// limitWrites sets the time until which the answer may be written, so that a
+// caller that does not read holds no request for ever. The time-out of the
+// server is enough for a small body that comes early.
+func (c *Caller) limitWrites(q *call, resp *http.Response) {
+	small := resp.ContentLength >= 0 && resp.ContentLength <= smallBody
+	if small && q.deadline.Sub(q.arrived) < c.cfg.WriteTimeout {
+		return
+	}
+	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeGrace))
+}
 
 // copyBody copies the body of a to the caller and resumes it where that is
 // allowed. It returns the attempt that is still to be finished.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -33,6 +33,7 @@
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ReadHeaderTimeout: c.cfg.HeaderTimeout,
 		IdleTimeout:       c.cfg.IdleTimeout,
+		WriteTimeout:      c.cfg.WriteTimeout,
 		MaxHeaderBytes:    c.cfg.MaxHeader,
 		ErrorLog:          zap.NewStdLog(c.cfg.Log),
 		ConnState:         c.connState,
@@ -54,8 +55,11 @@
 func (c *Caller) handle(w http.ResponseWriter, r *http.Request) {
 	c.active.Add(1)
 	defer c.active.Add(-1)
-	if c.draining.Load() {
-		w.Header().Set("Connection", "close")
+	if c.draining.Load() || len(r.TransferEncoding) > 0 {
+		// RFC 9112 section 6.1: after a request with both Content-Length and
+		// Transfer-Encoding the connection must close. net/http removes the
+		// Content-Length unseen, so every chunked request counts as one.
+		w.Header()["Connection"] = closeValue
 	}
 	q := &call{w: w, in: r, arrived: time.Now()}
 	defer q.end()
@@ -67,6 +71,8 @@
 	c.respond(q, a)
 }
 
+var closeValue = []string{"close"}
+
 // Drain stops the server without interrupting a request: from now on kept
 // connections are told to close with their next response, and idle ones are
 // closed after a short time. Drain returns when no request is in flight or ctx
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -81,7 +81,8 @@
 }
 
 // Decide returns whether the request of s is sent again. It takes from b only
-// if all other conditions hold.
+// if all other conditions hold; the first repetition of a request that cost the
+// fleet nothing is not counted.
 func Decide(s State, b *Budget, now time.Time) Verdict {
 	free := s.Run == fault.NotRun && (s.NoConn || s.Kind == fault.Draining)
 	switch {
@@ -101,6 +102,11 @@
 		return Verdict{Answer, DenyBody}
 	case s.Remaining < leastRemaining:
 		return Verdict{Answer, DenyDeadline}
+	case free && s.Attempt == 1:
+		// Outside the budget: the attempt cost the fleet nothing, so sending
+		// it once more cannot multiply load, and when a rack fails more than
+		// the budget's share of requests meet a refused connection.
+		return Verdict{Retry, RetryFree}
 	case !b.Take(now):
 		return Verdict{Answer, DenyBudget}
 	}
--- a/internal/core/retry/limit.go
+++ b/internal/core/retry/limit.go
@@ -12,6 +12,9 @@
 const (
 	// burstTime is the time over which a node may save up its share.
 	burstTime = time.Second
+	// leastBurst is the least bucket size in requests. A bucket of 1 would lose
+	// the part of a token that is saved when a request comes a little late.
+	leastBurst = 2.0
 	// feedbackPeriod is the time between two corrections of a share.
 	feedbackPeriod = 2 * time.Second
 	// feedbackAge is the time after which a share without feedback falls back
@@ -38,7 +41,7 @@
 // shrink while the mesh serves more than the rate.
 //
 // Bounds, for a rate of R requests/s and n nodes: without feedback the mesh
-// admits at most R*T + n*max(1, R/n*1s) requests in any T seconds, and at least
+// admits at most R*T + n*max(2, R/n*1s) requests in any T seconds, and at least
 // min(demand, R*k/n) per second if callers use k nodes evenly; so a client
 // that uses few nodes is held below its rate. With feedback the share of each
 // node is between R/n and R; it doubles at most every 2 s, so a client that
@@ -91,9 +94,9 @@
 	h.rate = rate
 	h.factor = min(h.factor, nodes)
 	share := rate / nodes * h.factor
-	burst := max(1, share*burstTime.Seconds())
+	burst := max(leastBurst, share*burstTime.Seconds())
 	if h.filled.IsZero() {
-		h.tokens = burst
+		h.tokens = max(1, share*burstTime.Seconds())
 	} else {
 		h.tokens = min(burst, h.tokens+share*max(now.Sub(h.filled), 0).Seconds())
 	}
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,253 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// funded returns a budget that allows retries.
+func funded() *Budget {
+	b := new(Budget)
+	for range 1000 {
+		b.Request(start)
+	}
+	return b
+}
+
+// TestDecide guards the table of retry decisions.
+func TestDecide(t *testing.T) {
+	base := State{Kind: fault.Overloaded, Run: fault.NotRun, Attempt: 1, Attempts: 3, Remaining: time.Second, Replayable: true}
+	for name, c := range map[string]struct {
+		change func(*State)
+		want   Verdict
+	}{
+		"overloaded":                {func(*State) {}, Verdict{Retry, RetryNotRun}},
+		"may have run":              {func(s *State) { s.Run, s.Kind = fault.Unknown, fault.OutcomeUnknown }, Verdict{Answer, DenyMayRun}},
+		"may have run, idempotent":  {func(s *State) { s.Run, s.Kind, s.Idempotent = fault.Unknown, fault.OutcomeUnknown, true }, Verdict{Retry, RetryIdempotent}},
+		"last attempt":              {func(s *State) { s.Attempt = 3 }, Verdict{Answer, DenyAttempts}},
+		"one attempt":               {func(s *State) { s.Attempts = 0 }, Verdict{Answer, DenyAttempts}},
+		"one attempt, draining":     {func(s *State) { s.Attempts, s.Kind = 1, fault.Draining }, Verdict{Retry, RetryFree}},
+		"one attempt, draining x2":  {func(s *State) { s.Attempts, s.Attempt, s.Kind = 1, 2, fault.Draining }, Verdict{Answer, DenyAttempts}},
+		"draining that ran":         {func(s *State) { s.Kind, s.Run = fault.Draining, fault.Unknown }, Verdict{Answer, DenyMayRun}},
+		"deep":                      {func(s *State) { s.Depth = 1 }, Verdict{Answer, DenyDepth}},
+		"deep, throttled":           {func(s *State) { s.Depth, s.Kind = 1, fault.Throttled }, Verdict{Answer, DenyDepth}},
+		"deep, queue deadline":      {func(s *State) { s.Depth, s.Kind = 1, fault.DeadlineExceeded }, Verdict{Answer, DenyDepth}},
+		"deep, unknown, idempotent": {func(s *State) { s.Depth, s.Kind, s.Run, s.Idempotent = 1, fault.OutcomeUnknown, fault.Unknown, true }, Verdict{Answer, DenyDepth}},
+		"deep, draining":            {func(s *State) { s.Depth, s.Kind = 1, fault.Draining }, Verdict{Retry, RetryFree}},
+		"deep, no connection":       {func(s *State) { s.Depth, s.Kind, s.NoConn = 1, fault.NoEndpoint, true }, Verdict{Retry, RetryFree}},
+		"deep, draining twice":      {func(s *State) { s.Depth, s.Kind, s.Attempt = 1, fault.Draining, 2 }, Verdict{Answer, DenyDepth}},
+		"body gone":                 {func(s *State) { s.Replayable = false }, Verdict{Answer, DenyBody}},
+		"no time":                   {func(s *State) { s.Remaining = time.Millisecond }, Verdict{Answer, DenyDeadline}},
+		"caller gone":               {func(s *State) { s.Canceled = true }, Verdict{Answer, DenyCanceled}},
+		"claim conflict":            {func(s *State) { s.Kind = fault.Conflict }, Verdict{Answer, DenyKind}},
+		"bad request":               {func(s *State) { s.Kind = fault.BadRequest }, Verdict{Answer, DenyKind}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := base
+			c.change(&s)
+			require.Equal(t, c.want, Decide(s, funded(), start))
+		})
+	}
+	require.Equal(t, Verdict{Answer, DenyBudget}, Decide(base, spent(), start))
+}
+
+func spent() *Budget {
+	b := new(Budget)
+	for b.Take(start) {
+	}
+	return b
+}
+
+func drawState(t *rapid.T) State {
+	return State{
+		Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Kind:       rapid.SampledFrom(fault.Kinds()).Draw(t, "kind"),
+		Run:        rapid.SampledFrom([]fault.Run{fault.NotRun, fault.Unknown, ""}).Draw(t, "run"),
+		NoConn:     rapid.Bool().Draw(t, "noconn"),
+		Attempt:    rapid.IntRange(1, 5).Draw(t, "attempt"),
+		Attempts:   rapid.IntRange(0, 5).Draw(t, "attempts"),
+		Depth:      rapid.IntRange(0, MaxDepth).Draw(t, "depth"),
+		Remaining:  time.Duration(rapid.IntRange(-10, 1000).Draw(t, "ms")) * time.Millisecond,
+		Replayable: rapid.Bool().Draw(t, "replayable"),
+		Canceled:   rapid.Bool().Draw(t, "canceled"),
+	}
+}
+
+// TestNeverTwice guards against a non-idempotent request that is sent again
+// though it may have run, and against repetitions below the first level.
+func TestNeverTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawState(t)
+		if Decide(s, funded(), start).Action == Retry {
+			require.True(t, s.Idempotent || s.Run == fault.NotRun)
+			require.True(t, s.Replayable && !s.Canceled && s.Remaining > 0)
+			require.True(t, s.Depth == 0 || s.Run == fault.NotRun && (s.NoConn || s.Kind == fault.Draining))
+			require.Less(t, s.Attempt, max(s.Attempts, 2))
+		}
+		if DecideHedge(s, funded(), start).Action == Hedge {
+			require.True(t, s.Idempotent && s.Depth == 0 && s.Replayable)
+		}
+	})
+}
+
+// TestBudget guards against more repetitions than 20% of the requests of any
+// 10 s and the minimum rate, and against a budget that does not refill.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := new(Budget)
+		now := start
+		type event struct {
+			at    time.Time
+			retry bool
+		}
+		var es []event
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				es = append(es, event{now, false})
+			} else if b.Take(now) {
+				es = append(es, event{now, true})
+			}
+		}
+		requests, retries := 0, 0
+		for _, e := range es {
+			if now.Sub(e.at) >= windowWidth-slotWidth {
+				continue
+			}
+			if e.retry {
+				retries++
+			}
+		}
+		for _, e := range es { // the window may hold one more slot
+			if now.Sub(e.at) < 2*windowWidth && !e.retry {
+				requests++
+			}
+		}
+		require.LessOrEqual(t, float64(retries), budgetShare*float64(requests)+budgetRate*windowWidth.Seconds()+1)
+	})
+	b := spent()
+	require.False(t, b.Take(start.Add(windowWidth/2)))
+	require.True(t, b.Take(start.Add(windowWidth)))
+}
+
+// mesh20 is a chain of 20 services, each called by the one above.
+type mesh20 struct {
+	rand     *rand.Rand
+	now      time.Time
+	budgets  [MaxDepth]Budget
+	requests [MaxDepth]int
+	attempts [MaxDepth]int
+	runs     [MaxDepth]int
+	rate     float64      // share of attempts that fail
+	kinds    []fault.Kind // of the failures
+}
+
+// call makes one request at the given level and reports whether it succeeded.
+func (m *mesh20) call(level int) bool {
+	m.requests[level]++
+	m.budgets[level].Request(m.now)
+	s := State{Idempotent: true, Attempts: 3, Depth: level, Remaining: time.Second, Replayable: true}
+	for s.Attempt = 1; ; s.Attempt++ {
+		m.attempts[level]++
+		s.Kind, s.Run, s.NoConn = "", fault.Unknown, false
+		if m.rand.Float64() < m.rate {
+			s.Kind = m.kinds[m.rand.IntN(len(m.kinds))]
+			s.Run = fault.AnswerOf(s.Kind).Run
+			s.NoConn = s.Kind == fault.NoEndpoint
+		}
+		if s.Run == fault.Unknown {
+			m.runs[level]++
+			if level+1 < MaxDepth && !m.call(level+1) {
+				s.Kind = fault.OutcomeUnknown // the backend server passes the failure on
+			}
+		}
+		if s.Kind == "" {
+			return true
+		}
+		if Decide(s, &m.budgets[level], m.now).Action != Retry {
+			return false
+		}
+	}
+}
+
+// TestAmplification guards against retries that multiply over 20 levels of
+// calls with 10% failures at each. It prints the measured factors.
+func TestAmplification(t *testing.T) {
+	const calls = 20000
+	for name, kinds := range map[string][]fault.Kind{
+		"overloaded": {fault.Overloaded},
+		"unknown":    {fault.OutcomeUnknown},
+		"draining":   {fault.Draining, fault.NoEndpoint},
+		"mixed":      {fault.Overloaded, fault.OutcomeUnknown, fault.Draining, fault.NoEndpoint, fault.DeadlineExceeded},
+	} {
+		m := &mesh20{rand: rand.New(rand.NewPCG(1, 1)), now: start, rate: 0.1, kinds: kinds}
+		ok := 0
+		for range calls {
+			m.now = m.now.Add(time.Millisecond)
+			if m.call(0) {
+				ok++
+			}
+		}
+		least := budgetRate * windowWidth.Seconds() * float64(m.now.Sub(start)/windowWidth+1)
+		worst, worstRuns := 0.0, 0.0
+		for l := range MaxDepth {
+			q, a, r := float64(m.requests[l]), float64(m.attempts[l]), float64(m.runs[l])
+			require.LessOrEqual(t, r, (1+budgetShare)*q+least, "runs at level %d", l)
+			if l > 0 {
+				require.LessOrEqual(t, r, (1+budgetShare)*calls+least, "runs at level %d against calls from outside", l)
+			}
+			worst, worstRuns = max(worst, a/q), max(worstRuns, r/calls)
+		}
+		t.Logf("%s: attempts per request at the worst level %.3f, runs of a service per call from outside %.3f, answered %.3f",
+			name, worst, worstRuns, float64(ok)/calls)
+	}
+}
+
+// TestThrottle guards against a flood that costs the gates a refusal for each
+// request, against refusals without pressure, and against a service that does
+// not recover.
+func TestThrottle(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	th := &Throttle{Rand: r.Float64}
+	now := start
+	pressed := true
+	flood := func(seconds int, capacity float64) (sent, accepted, all int) {
+		for range seconds * 1000 {
+			now = now.Add(time.Millisecond)
+			all++
+			if !th.Allow("s", "bulk", now, func() bool { return pressed }) {
+				continue
+			}
+			sent++
+			ok := r.Float64() < capacity*float64(all)/float64(sent) // serves a share of all requests
+			if ok {
+				accepted++
+			}
+			th.Done("s", "bulk", ok, now)
+		}
+		return sent, accepted, all
+	}
+	flood(20, 0.1)
+	sent, accepted, all := flood(20, 0.1)
+	t.Logf("flood of 10 times the capacity: sent %.3f, accepted %.3f of all", float64(sent)/float64(all), float64(accepted)/float64(all))
+	require.Less(t, float64(sent), 0.2*float64(all))
+	require.Greater(t, float64(accepted), 0.08*float64(all))
+	require.True(t, th.Allow("s", "urgent", now, func() bool { return true }), "another rank")
+	// Under pressure the share sent grows by the throttle's multiple per window.
+	flood(3*windowSlots, 1)
+	sent, _, all = flood(10, 1)
+	require.Greater(t, float64(sent), 0.95*float64(all), "recovery under pressure")
+	flood(20, 0.1)
+	pressed = false
+	sent, _, all = flood(1, 0.1)
+	require.Equal(t, all, sent, "without pressure")
+}
--- /dev/null
+++ b/internal/core/route/picker_test.go
@@ -0,0 +1,309 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func members(n int, change func(i int, m *member.Member)) []member.Member {
+	ms := make([]member.Member, n)
+	for i := range ms {
+		ms[i] = member.Member{
+			ID: mesh.NodeID(fmt.Sprintf("e%d", i)), Zone: "a", Addr: mesh.Addr(fmt.Sprintf("10.0.0.%d:1", i)),
+			Service: "s", Slots: 20, Endpoint: member.Ready, Incarnation: 1,
+		}
+		if change != nil {
+			change(i, &ms[i])
+		}
+	}
+	return ms
+}
+
+func newPicker(ms []member.Member) *Picker {
+	r := rand.New(rand.NewPCG(1, 2))
+	p := NewPicker(PickerConfig{Zone: "a", Rand: r.IntN})
+	p.Update(ms, start)
+	return p
+}
+
+// shares picks and finishes n requests and returns the number per endpoint.
+func shares(p *Picker, n int, now time.Time) map[mesh.NodeID]int {
+	m := make(map[mesh.NodeID]int)
+	for range n {
+		if e := p.Pick("s", "urgent", nil, now); e != nil {
+			m[e.ID]++
+			p.Done(e, Canceled, "urgent", 0, now)
+		}
+	}
+	return m
+}
+
+// TestPickBalances guards against an endpoint that gets far more requests than
+// the others.
+func TestPickBalances(t *testing.T) {
+	p := newPicker(members(10, nil))
+	for range 100 {
+		require.NotNil(t, p.Pick("s", "urgent", nil, start))
+	}
+	for _, v := range p.Endpoints("s", "urgent", start) {
+		require.InDelta(t, 10, v.InFlight, 3)
+	}
+	require.Nil(t, p.Pick("other", "urgent", nil, start))
+}
+
+// TestPickNeverClosed guards against work for a backend server that is leaving,
+// starting or gone, also when nothing else is left.
+func TestPickNeverClosed(t *testing.T) {
+	p := newPicker(members(4, func(i int, m *member.Member) {
+		switch i {
+		case 0:
+			m.Endpoint = member.Draining
+		case 1:
+			m.Status = member.Left
+		case 2:
+			m.Endpoint = member.Starting
+		case 3:
+			m.Status, m.Endpoint = member.Dead, member.Draining
+		}
+	}))
+	require.Empty(t, shares(p, 100, start))
+}
+
+// TestZoneFirst guards against requests that leave the availability zone
+// without need, and against a zone that is pressed while others are free.
+func TestZoneFirst(t *testing.T) {
+	p := newPicker(members(4, func(i int, m *member.Member) {
+		if i >= 2 {
+			m.Zone = "b"
+		}
+	}))
+	m := shares(p, 100, start)
+	require.Equal(t, 100, m["e0"]+m["e1"])
+
+	for _, e := range p.service("s").all {
+		if e.Zone == "a" {
+			p.Report(e, "bulk=0.1,urgent=0.9", start)
+		}
+	}
+	m = shares(p, 100, start)
+	require.Equal(t, 100, m["e2"]+m["e3"])
+	m = shares(p, 100, start.Add(pressureAge))
+	require.Equal(t, 100, m["e0"]+m["e1"], "pressure must age")
+
+	for range 41 { // own requests fill the local slots
+		require.NotNil(t, p.Pick("s", "urgent", nil, start.Add(pressureAge)))
+	}
+	m = shares(p, 100, start.Add(pressureAge))
+	require.Positive(t, m["e2"]+m["e3"])
+}
+
+// TestTriedExcluded guards against a retry at an endpoint that failed already.
+func TestTriedExcluded(t *testing.T) {
+	p := newPicker(members(3, nil))
+	var tried []*Endpoint
+	for range 3 {
+		e := p.Pick("s", "urgent", tried, start)
+		require.NotNil(t, e)
+		require.NotContains(t, tried, e)
+		tried = append(tried, e)
+	}
+	require.Nil(t, p.Pick("s", "urgent", tried, start))
+}
+
+// TestUpdateKeeps guards against counts that are lost or doubled when the
+// membership changes.
+func TestUpdateKeeps(t *testing.T) {
+	p := newPicker(members(2, nil))
+	e := p.Pick("s", "urgent", nil, start)
+	p.Report(e, "urgent=0.4", start)
+	p.Update(members(5, nil), start)
+	for _, v := range p.Endpoints("s", "urgent", start) {
+		if v.ID == e.ID {
+			require.Equal(t, 1, v.InFlight)
+			require.InDelta(t, 0.4, v.Pressure, 1e-9)
+		}
+	}
+	p.Update(members(0, nil), start)
+	require.Nil(t, p.Pick("s", "urgent", nil, start))
+	p.Done(e, Success, "urgent", time.Millisecond, start) // after the endpoint left
+}
+
+// TestDrained guards against further requests to a gate that refused with
+// draining before membership says so, and against a hold that never ends.
+func TestDrained(t *testing.T) {
+	p := newPicker(members(1, nil))
+	e := p.Pick("s", "urgent", nil, start)
+	p.Done(e, Drained, "urgent", 0, start)
+	require.Nil(t, p.Pick("s", "urgent", nil, start))
+	p.Update(members(1, nil), start)
+	require.Nil(t, p.Pick("s", "urgent", nil, start), "same incarnation")
+	p.Update(members(1, func(_ int, m *member.Member) { m.Incarnation++ }), start)
+	require.NotNil(t, p.Pick("s", "urgent", nil, start))
+	p.Done(e, Drained, "urgent", 0, start)
+	require.NotNil(t, p.Pick("s", "urgent", nil, start.Add(drainHold)))
+}
+
+// TestSlowEjected guards against a slow endpoint that keeps its share, and
+// against an ejection without end.
+func TestSlowEjected(t *testing.T) {
+	p := newPicker(members(4, nil))
+	now := start
+	run := func(n int) map[mesh.NodeID]int {
+		m := make(map[mesh.NodeID]int)
+		for range n {
+			now = now.Add(time.Millisecond)
+			e := p.Pick("s", "urgent", nil, now)
+			m[e.ID]++
+			d := 5 * time.Millisecond
+			if e.ID == "e2" {
+				d = 100 * time.Millisecond
+			}
+			p.Done(e, Success, "urgent", d, now)
+		}
+		return m
+	}
+	run(400)
+	require.EqualValues(t, 1, p.Ejections())
+	require.Zero(t, run(100)["e2"])
+	now = now.Add(ejectBase)
+	require.Positive(t, run(400)["e2"], "must be tried again")
+	require.EqualValues(t, 2, p.Ejections())
+	now = now.Add(ejectBase + ejectBase/2)
+	require.Zero(t, run(100)["e2"], "second ejection must be longer")
+}
+
+// TestEjectAtMostThird guards against a service that is emptied by ejections,
+// whatever the outcomes are.
+func TestEjectAtMostThird(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "endpoints")
+		p := newPicker(members(n, nil))
+		now := start
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			e := p.Pick("s", "urgent", nil, now)
+			require.NotNil(t, e)
+			o := rapid.SampledFrom([]Outcome{Success, Failed, Failed, Failed}).Draw(t, "outcome")
+			p.Done(e, o, "urgent", time.Millisecond, now)
+			out := 0
+			for _, v := range p.Endpoints("s", "urgent", now) {
+				if v.Use == "ejected" {
+					out++
+				}
+			}
+			require.LessOrEqual(t, out, n/3)
+		}
+	})
+}
+
+// TestProbing guards against a burst of requests to an endpoint that returns
+// from ejection and still fails.
+func TestProbing(t *testing.T) {
+	p := newPicker(members(3, nil))
+	bad := p.service("s").all["e0"]
+	for range failsInRow {
+		bad.inflight++
+		p.Done(bad, Failed, "urgent", 0, start)
+	}
+	now := start.Add(ejectBase)
+	n := 0
+	for range 30 {
+		if p.Pick("s", "urgent", nil, now) == bad {
+			n++
+		}
+	}
+	require.Equal(t, 1, n)
+	p.Done(bad, Failed, "urgent", 0, now)
+	require.Equal(t, "ejected", bad.use(now.Add(ejectBase)))
+}
+
+// TestMassDisappearance guards against a table that empties when most of a
+// service seems gone, and against more than one request to each last known
+// endpoint.
+func TestMassDisappearance(t *testing.T) {
+	gone := func(i int, m *member.Member) {
+		switch i % 3 {
+		case 0:
+			m.Status = member.Dead
+		case 1:
+			m.Status = member.Suspect
+		case 2:
+			m.Endpoint = member.Unhealthy
+		}
+	}
+	p := newPicker(members(9, gone))
+	for range 9 {
+		require.NotNil(t, p.Pick("s", "urgent", nil, start))
+	}
+	require.Nil(t, p.Pick("s", "urgent", nil, start), "a second request in flight")
+	for _, v := range p.Endpoints("s", "urgent", start) {
+		require.Equal(t, 1, v.InFlight)
+	}
+
+	// While at least half are healthy, the others get nothing.
+	p = newPicker(members(4, func(i int, m *member.Member) {
+		if i < 2 {
+			gone(i, m)
+		}
+	}))
+	m := shares(p, 100, start)
+	require.Equal(t, 100, m["e2"]+m["e3"])
+}
+
+// TestPressure guards against early refusal while one endpoint is free.
+func TestPressure(t *testing.T) {
+	p := newPicker(members(3, nil))
+	require.Zero(t, p.Pressure("s", "urgent", start))
+	all := p.service("s").all
+	p.Report(all["e0"], "urgent=0.9", start)
+	p.Report(all["e1"], "urgent=0.6,broken,bulk=x,low=7", start)
+	require.InDelta(t, 0.6, p.Pressure("s", "urgent", start), 1e-9)
+	require.Zero(t, p.Pressure("s", "bulk", start))
+	require.Zero(t, p.Pressure("s", "low", start))
+	p.Report(all["e2"], "urgent=0.05", start)
+	require.InDelta(t, 0.05, p.Pressure("s", "urgent", start), 1e-9)
+}
+
+func benchPick(b *testing.B, services int) {
+	p := newPicker(members(2500, func(i int, m *member.Member) {
+		m.Service = mesh.Service(fmt.Sprintf("s%d", i%services))
+		m.Zone = mesh.AvailabilityZone(string(rune('a' + i%16)))
+	}))
+	p.rand = rand.IntN
+	for _, s := range *p.services.Load() {
+		for _, e := range s.all {
+			p.Report(e, "urgent=0.1,bulk=0.3", start)
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		e := p.Pick("s0", "urgent", nil, start)
+		p.Done(e, Success, "urgent", time.Millisecond, start)
+	}
+}
+
+// BenchmarkPick measures one Pick and one Done.
+func BenchmarkPick(b *testing.B) {
+	b.Run("services=120", func(b *testing.B) { benchPick(b, 120) })
+	b.Run("services=1", func(b *testing.B) { benchPick(b, 1) })
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	ms := members(2500, func(i int, m *member.Member) { m.Service = mesh.Service(fmt.Sprintf("s%d", i%120)) })
+	p := newPicker(ms)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Update(ms, start)
+	}
+}
