--- /dev/null
+++ b/internal/standin/inject/set_test.go
@@ -0,0 +1,46 @@
+package inject_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/inject"
+)
+
+// TestControl guards against faults that are set in part, or not at all, over
+// HTTP.
+func TestControl(t *testing.T) {
+	none := func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	s := inject.New(inject.Service{
+		Handler:     http.NotFoundHandler(),
+		Operation:   func(*http.Request) string { return "Op" },
+		Writes:      func(string) bool { return true },
+		Unavailable: none,
+		Throttled:   none,
+	}, 1)
+	h := inject.Control(map[string]*inject.Set{"table": s})
+	send := func(body string) int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/control", strings.NewReader(body)))
+		return w.Code
+	}
+	require.Equal(t, http.StatusOK, send(`{"table":{"latency":"1ms","outage":"error"}}`))
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", nil))
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	for _, bad := range []string{`{"none":{}}`, `{"table":{"unknown":1}}`, `{"table":{"lose":2}}`, `{"table":{"outage":"x"}}`} {
+		require.Equal(t, http.StatusBadRequest, send(bad), bad)
+	}
+	w = httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/control", nil))
+	var got map[string]inject.Status
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &got))
+	require.Equal(t, inject.Error, got["table"].Faults.Outage)
+	require.EqualValues(t, 1, got["table"].Counts["Op"])
+	require.EqualValues(t, 1, got["table"].Failed["error"])
+}
