--- /dev/null
+++ b/internal/standin/backend/body.go
@@ -0,0 +1,45 @@
+package backend
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// DigestHeader carries the SHA-256 digest of the complete body (RFC 9530).
+const DigestHeader = "Repr-Digest"
+
+// maxBody is the largest body that a request can ask for, in bytes.
+const maxBody = 256 << 20
+
+// Body returns the n bytes that follow from name: the response to the request
+// with that id, or the immutable content of that path. A caller can verify
+// with it that a response belongs to its own request.
+func Body(name string, n int) []byte {
+	b := make([]byte, n)
+	// Read of a ChaCha8 never fails.
+	_, _ = rand.NewChaCha8(sha256.Sum256([]byte(name))).Read(b)
+	return b
+}
+
+// FormatDigest returns the value of DigestHeader for body.
+func FormatDigest(body []byte) string {
+	d := mesh.DigestOf(body)
+	return "sha-256=:" + base64.StdEncoding.EncodeToString(d[:]) + ":"
+}
+
+// CheckResponse returns an error unless h and body are the complete response
+// to the request with the given id.
+func CheckResponse(h http.Header, body []byte, id mesh.RequestID) error {
+	if got := h.Get(mesh.RequestHeader); got != string(id) {
+		return fmt.Errorf("response carries request id %q, want %q", got, id)
+	}
+	if got, want := FormatDigest(body), h.Get(DigestHeader); got != want {
+		return fmt.Errorf("body of %d bytes has digest %s, header says %q", len(body), got, want)
+	}
+	return nil
+}
