Add fault-injecting relay

Tests of partitions and of truncated or lost traffic need a relay for TCP and UDP. Faults can differ by source, since nodes share one address per member and a relay in front of a node must separate it from some peers only. A cut closes the listener, so that clients see refused connections, which prove that nothing ran.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,6 +25,7 @@
 	defer stop()
 	platformCommand(ctx, app)
 	backendCommand(ctx, app, log)
+	relayCommand(ctx, app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		stop()
--- /dev/null
+++ b/internal/standin/relay/relay.go
@@ -0,0 +1,265 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Config configures a Relay.
+type Config struct {
+	Listen string // address for TCP and UDP; 127.0.0.1:0 if empty
+	Target string // address to forward to
+	NoTCP  bool
+	NoUDP  bool
+	Seed   uint64
+	// Source names the source of a client address. It is the IP address if nil.
+	Source func(client net.Addr) string
+}
+
+// Relay forwards connections and datagrams.
+type Relay struct {
+	cfg    Config
+	addr   string
+	udp    *net.UDPConn
+	target *net.UDPAddr
+
+	connections, datagrams, lost atomic.Int64
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	plan    Plan
+	changed chan struct{} // closed when plan changes
+	tcp     net.Listener  // nil while cut
+	links   map[*link]bool
+	flows   map[string]*flow
+}
+
+const defaultListen = "127.0.0.1:0"
+
+// New opens the listeners of a relay. Run must be called to serve them and to
+// close them.
+func New(cfg Config) (*Relay, error) {
+	if cfg.Listen == "" {
+		cfg.Listen = defaultListen
+	}
+	if cfg.Source == nil {
+		cfg.Source = sourceIP
+	}
+	target, err := net.ResolveUDPAddr("udp", cfg.Target)
+	if err != nil {
+		return nil, fmt.Errorf("relay target: %w", err)
+	}
+	r := &Relay{
+		cfg:     cfg,
+		target:  target,
+		rnd:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		changed: make(chan struct{}),
+		links:   make(map[*link]bool),
+		flows:   make(map[string]*flow),
+	}
+	return r, r.open()
+}
+
+func sourceIP(a net.Addr) string {
+	host, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return a.String()
+	}
+	return host
+}
+
+// openAttempts bounds the search for a kernel-assigned port that is free for
+// both TCP and UDP.
+const openAttempts = 20
+
+func (r *Relay) open() error {
+	var err error
+	for range openAttempts {
+		if err = r.openOnce(); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("relay listen: %w", err)
+}
+
+func (r *Relay) openOnce() error {
+	r.addr = r.cfg.Listen
+	if !r.cfg.NoTCP {
+		l, err := net.Listen("tcp", r.addr)
+		if err != nil {
+			return err
+		}
+		r.tcp, r.addr = l, l.Addr().String()
+	}
+	if r.cfg.NoUDP {
+		return nil
+	}
+	a, err := net.ResolveUDPAddr("udp", r.addr)
+	if err == nil {
+		r.udp, err = net.ListenUDP("udp", a)
+	}
+	if err != nil {
+		if r.tcp != nil {
+			_ = r.tcp.Close()
+		}
+		return err
+	}
+	r.addr = r.udp.LocalAddr().String()
+	return nil
+}
+
+// Addr returns the listen address.
+func (r *Relay) Addr() string { return r.addr }
+
+// Plan returns the current faults.
+func (r *Relay) Plan() Plan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan
+}
+
+// SetFaults replaces the faults of all sources by f.
+func (r *Relay) SetFaults(f Faults) error { return r.SetPlan(Plan{Faults: f}) }
+
+// SetPlan replaces all faults by p. The maps of p must not change afterwards.
+func (r *Relay) SetPlan(p Plan) error {
+	if err := p.Check(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wasCut := r.plan.Faults.Cut
+	r.plan = p
+	close(r.changed)
+	r.changed = make(chan struct{})
+	for l := range r.links {
+		if p.of(l.source).Cut {
+			l.reset()
+		}
+	}
+	if r.cfg.NoTCP || p.Faults.Cut == wasCut {
+		return nil
+	}
+	if p.Faults.Cut {
+		err := r.tcp.Close()
+		r.tcp = nil
+		return err
+	}
+	return r.reopen()
+}
+
+// reopenTimeout bounds the wait for the port, which the kernel may lend to
+// another socket while the relay refuses connections.
+const reopenTimeout = 2 * time.Second
+
+// reopen must be called with mu held.
+func (r *Relay) reopen() error {
+	end := time.Now().Add(reopenTimeout)
+	for {
+		l, err := net.Listen("tcp", r.addr)
+		if err == nil {
+			r.tcp = l
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("relay listen again: %w", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// faults returns the faults of source and a channel that is closed when they
+// may have changed.
+func (r *Relay) faults(source string) (Faults, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan.of(source), r.changed
+}
+
+// delay returns a random delay under f.
+func (r *Relay) delay(f Faults) time.Duration {
+	d := time.Duration(f.Delay)
+	if f.Jitter > 0 {
+		d += time.Duration(r.draw() * float64(f.Jitter))
+	}
+	return d
+}
+
+func (r *Relay) draw() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rnd.Float64()
+}
+
+// Run forwards until ctx ends, then closes all connections.
+func (r *Relay) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	if !r.cfg.NoTCP {
+		g.Go(func() error { return r.acceptLoop(ctx, g) })
+	}
+	if r.udp != nil {
+		g.Go(func() error { return r.readDatagrams(ctx, g) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		r.closeAll()
+		return nil
+	})
+	return g.Wait()
+}
+
+func (r *Relay) closeAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tcp != nil {
+		_ = r.tcp.Close()
+	}
+	if r.udp != nil {
+		_ = r.udp.Close()
+	}
+	for l := range r.links {
+		l.reset()
+	}
+	for _, f := range r.flows {
+		_ = f.conn.Close()
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// acceptLoop accepts connections and waits for the end of a cut while the
+// listener is closed.
+func (r *Relay) acceptLoop(ctx context.Context, g *errgroup.Group) error {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		l, changed := r.tcp, r.changed
+		r.mu.Unlock()
+		if l == nil {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("relay accept: %w", err)
+		}
+		g.Go(func() error {
+			r.forward(ctx, c.(*net.TCPConn))
+			return nil
+		})
+	}
+	return nil
+}
