--- /dev/null
+++ b/internal/core/member/config.go
@@ -0,0 +1,90 @@
+package member
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// probePeriod is the time between two probes by one node.
+	probePeriod = time.Second
+	// directTimeout is the wait for an acknowledgement before other members
+	// are asked to probe the target.
+	directTimeout = 300 * time.Millisecond
+	// relays is the number of members asked to probe a silent target.
+	relays = 3
+	// deadPeriod is the time between two probes of dead members.
+	deadPeriod = 10 * time.Second
+	// keepDead is the time for which dead members are remembered and probed.
+	keepDead = 10 * time.Minute
+	// keepLeft is the time for which members that left are remembered. It
+	// exceeds the longest partition expected (1 h), so that a side that missed
+	// the leave cannot bring the member back when views merge.
+	keepLeft = 2 * time.Hour
+	// pauseLimit is how late Tick may be called before the node takes itself
+	// to have been paused.
+	pauseLimit = 2 * time.Second
+	// pauseRound is the largest number of probes that a node completes after a
+	// pause before it declares a member dead. Probing every one of 2,500
+	// members once would take 40 minutes.
+	pauseRound = 10
+	// gossipDelay is the wait before a new update is sent on, so that updates
+	// that arrive together share datagrams.
+	gossipDelay = 20 * time.Millisecond
+	// gossipFanout is the number of members that a new update is sent to at
+	// once, apart from the probes that carry it later.
+	gossipFanout = 3
+	// spreadFactor times log2 of the member count is the number of times that
+	// one node sends an update.
+	spreadFactor = 3
+	// defaultBudget is the space for updates in one datagram, in bytes.
+	defaultBudget = 1200
+	// minSuspicion is the shortest time from suspicion to death.
+	minSuspicion = 2 * time.Second
+)
+
+// Config configures a List.
+type Config struct {
+	// Self is this node. If its incarnation is 0, the time passed to New in
+	// milliseconds is used, so that a restarted node overrides its former self.
+	Self Member
+	// Rand orders probes and picks members. It must not be nil.
+	Rand *rand.Rand
+	// Budget is the space for updates in one datagram in bytes; 0 means 1,200.
+	Budget int
+	// Size returns the encoded size of an update in bytes; nil means an upper
+	// estimate.
+	Size func(Update) int
+}
+
+func (c *Config) fill() {
+	if c.Budget == 0 {
+		c.Budget = defaultBudget
+	}
+	if c.Size == nil {
+		c.Size = estimate
+	}
+}
+
+// estimate is an upper bound of the encoded size of u.
+func estimate(u Update) int {
+	const fixed = 48
+	return fixed + len(u.ID) + len(u.Zone) + len(u.Addr) + len(u.Service)
+}
+
+// suspicion returns the time from suspicion to death among n members: 3 s at
+// 10 and 8 s at 2,500 members, linear in the logarithm of n.
+func suspicion(n int) time.Duration {
+	const (
+		atTen = 3.0
+		slope = (8 - atTen) / 2.398 // log10(2500) - log10(10) is 2.398
+	)
+	s := atTen + slope*(math.Log10(float64(max(n, 1)))-1)
+	return max(time.Duration(s*float64(time.Second)), minSuspicion)
+}
+
+// transmissions returns how often one node sends an update among n members.
+func transmissions(n int) int {
+	return spreadFactor * int(math.Ceil(math.Log2(float64(n+2))))
+}
--- /dev/null
+++ b/internal/peer/apply.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// offer is a delta that another node pushed.
+type offer struct {
+	delta     config.Delta
+	origin    mesh.NodeID // node that started the push
+	from      mesh.NodeID // node that sent it here
+	committed time.Time
+}
+
+// offer takes in a pushed delta: it applies it and passes it on, or asks the
+// sender for what is missing.
+func (p *Peer) offer(o offer) {
+	p.vmu.Lock()
+	action := p.state.Decide(o.delta.Target, o.delta.Base, true)
+	var err error
+	if action == version.ApplyDelta {
+		err = p.applyDelta(o.delta, o.committed)
+	}
+	p.vmu.Unlock()
+	switch {
+	case action == version.Ignore:
+		p.stats.pushes.Add("received_again", 1)
+	case action == version.ApplyDelta && err == nil:
+		p.stats.pushes.Add("applied", 1)
+		p.enqueueSpread(spread{delta: o.delta, origin: o.origin, committed: o.committed, scope: zoneTree})
+	default:
+		p.mu.Lock()
+		m, ok := p.list.Lookup(o.from)
+		p.mu.Unlock()
+		if ok {
+			p.hint(hint{from: m, version: o.delta.Target, reason: "push", whole: err != nil})
+		}
+	}
+}
+
+// applyDelta applies d. The caller holds vmu.
+func (p *Peer) applyDelta(d config.Delta, committed time.Time) error {
+	s, err := p.state.ApplyDelta(d, committed)
+	return p.applied(s, committed, err)
+}
+
+// applyWhole applies a complete manifest. The caller holds vmu.
+func (p *Peer) applyWhole(v mesh.Version, digest mesh.Digest, m config.Manifest, parts []config.Part, committed time.Time) error {
+	s, err := p.state.ApplyWhole(v, digest, m, parts, committed)
+	return p.applied(s, committed, err)
+}
+
+// applied makes s the current snapshot, or counts err. The caller holds vmu.
+func (p *Peer) applied(s *config.Snapshot, committed time.Time, err error) error {
+	if err != nil {
+		reason := version.Reason(err)
+		p.stats.rejected.Add(reason, 1)
+		if reason != "old" {
+			p.log.Warn("refused a configuration", zap.String("reason", reason), zap.Error(err))
+		}
+		return err
+	}
+	if old := p.snapshot.Swap(s); old != nil && old.Version >= s.Version {
+		p.stats.metrics.InvariantBroken("version_order")
+	}
+	if !committed.IsZero() {
+		p.stats.convergence.observe(time.Since(committed))
+	}
+	p.mu.Lock()
+	p.list.SetVersion(s.Version)
+	p.mu.Unlock()
+	p.cfg.OnSnapshot(s)
+	return nil
+}
+
+// seen takes in the version that another node showed.
+func (p *Peer) seen(now time.Time, from member.Member, v mesh.Version) {
+	p.rmu.Lock()
+	p.readiness.Peer(now, v, false)
+	p.rmu.Unlock()
+	if v > p.Version() {
+		p.hint(hint{from: from, version: v, reason: "message"})
+	}
+}
--- /dev/null
+++ b/internal/peer/auth.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	// authHeader carries the time of a request in Unix milliseconds, a colon
+	// and the tag in hexadecimal.
+	authHeader = "Lavenderrill-Auth"
+	// authWindow is the largest difference between that time and the local
+	// clock. Replayed requests have no effect beyond the first, so the window
+	// leaves room for clocks that differ.
+	authWindow = 10 * time.Minute
+	// maxBody is the largest body of a request between nodes: a delta of all
+	// documents.
+	maxBody = 16 << 20
+)
+
+// signer signs and checks HTTP requests.
+type signer struct{ key []byte }
+
+func (s signer) tag(method, path, at string, body []byte) string {
+	d := mesh.DigestOf(body)
+	return hex.EncodeToString(sum(s.key, []byte(method+"\n"+path+"\n"+at+"\n"), d[:]))
+}
+
+// sign sets the authentication header of r, whose body is given.
+func (s signer) sign(r *http.Request, now time.Time, body []byte) {
+	at := strconv.FormatInt(now.UnixMilli(), 10)
+	r.Header.Set(authHeader, at+":"+s.tag(r.Method, r.URL.Path, at, body))
+}
+
+// verify checks the authentication header of r.
+func (s signer) verify(r *http.Request, now time.Time, body []byte) error {
+	at, tag, ok := strings.Cut(r.Header.Get(authHeader), ":")
+	if !ok {
+		return errors.New("authentication header is absent or malformed")
+	}
+	if !hmac.Equal([]byte(tag), []byte(s.tag(r.Method, r.URL.Path, at, body))) {
+		return errors.New("authentication tag is wrong")
+	}
+	ms, err := strconv.ParseInt(at, 10, 64)
+	if err != nil {
+		return fmt.Errorf("authentication time: %w", err)
+	}
+	if d := now.Sub(time.UnixMilli(ms)); d > authWindow || d < -authWindow {
+		return fmt.Errorf("authentication time differs by %s", d)
+	}
+	return nil
+}
+
+// signing is a round tripper that signs each request.
+type signing struct {
+	signer signer
+	next   http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t signing) RoundTrip(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		b, err := io.ReadAll(r.Body)
+		if err := errors.Join(err, r.Body.Close()); err != nil {
+			return nil, err
+		}
+		body = b
+	}
+	c := r.Clone(r.Context())
+	c.Body = io.NopCloser(bytes.NewReader(body))
+	c.ContentLength = int64(len(body))
+	c.GetBody = nil
+	t.signer.sign(c, time.Now(), body)
+	return t.next.RoundTrip(c)
+}
+
+// authenticate admits signed requests to next.
+func (p *Peer) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			p.refuse(w, fault.Newf(fault.BodyTooLarge, "read request: %w", err))
+			return
+		}
+		if err := p.signer.verify(r, time.Now(), body); err != nil {
+			p.refuse(w, fault.Newf(fault.Unauthorized, "%w", err))
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refuse answers a request on the peer listener with e and counts it.
+func (p *Peer) refuse(w http.ResponseWriter, e *fault.Error) {
+	p.stats.refused.Add(string(e.Kind), 1)
+	fault.Write(w, e, "")
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lavenderrill.dev/lavenderrill/internal/peer/peerpb/peerpbconnect"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	dialTimeout = time.Second
+	// idlePerPeer is the number of idle connections kept to one node.
+	idlePerPeer = 2
+	// idleConns is the number of idle connections kept to all nodes.
+	idleConns = 32
+	// connsPerPeer is the number of connections to one node.
+	connsPerPeer = 4
+	idleClose    = 30 * time.Second
+)
+
+// newClient returns the client of requests to other nodes.
+func (p *Peer) newClient() *http.Client {
+	read := counter(p.stats.bytesReceived, httpKind)
+	sent := counter(p.stats.bytesSent, httpKind)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: signing{
+		signer: p.signer,
+		next: &http.Transport{
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				cc := &countedConn{Conn: c}
+				cc.count(read, sent)
+				return cc, nil
+			},
+			MaxIdleConns:        idleConns,
+			MaxIdleConnsPerHost: idlePerPeer,
+			MaxConnsPerHost:     connsPerPeer,
+			IdleConnTimeout:     idleClose,
+			DisableCompression:  true, // connect compresses by itself
+		},
+	}}
+}
+
+// at returns the client of the node at address a.
+func (p *Peer) at(a mesh.Addr) peerpbconnect.PeerServiceClient {
+	return peerpbconnect.NewPeerServiceClient(p.client, "http://"+string(a),
+		connect.WithReadMaxBytes(maxBody), connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom))
+}
+
+// call runs one request to another node within timeout and counts it.
+func call[Q, A any](ctx context.Context, p *Peer, kind string, timeout time.Duration,
+	f func(context.Context, *connect.Request[Q]) (*connect.Response[A], error), q *Q) (*A, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	p.stats.sent.Add(kind, 1)
+	a, err := f(ctx, connect.NewRequest(q))
+	if err != nil {
+		return nil, err
+	}
+	return a.Msg, nil
+}
--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// Source is the part of the platform that configuration is read from. A nil
+// function counts as a platform that does not answer.
+type Source struct {
+	Head     func(context.Context) (mesh.Version, mesh.Digest, error)
+	Manifest func(context.Context, mesh.Digest) (config.Manifest, error)
+	Part     func(context.Context, mesh.Digest) (config.Part, error)
+	Nodes    func(context.Context) ([]mesh.Addr, error) // peer addresses of node rows
+}
+
+// errNoSource is the error of a function that a Source lacks.
+var errNoSource = errors.New("the platform is not configured")
+
+func (s *Source) fill() {
+	if s.Head == nil {
+		s.Head = func(context.Context) (mesh.Version, mesh.Digest, error) { return 0, mesh.Digest{}, errNoSource }
+	}
+	if s.Manifest == nil {
+		s.Manifest = func(context.Context, mesh.Digest) (config.Manifest, error) { return config.Manifest{}, errNoSource }
+	}
+	if s.Part == nil {
+		s.Part = func(context.Context, mesh.Digest) (config.Part, error) { return nil, errNoSource }
+	}
+	if s.Nodes == nil {
+		s.Nodes = func(context.Context) ([]mesh.Addr, error) { return nil, errNoSource }
+	}
+}
+
+// Config configures a Peer.
+type Config struct {
+	Self     member.Member  // ID, Zone and Addr must be set; Addr is told to others
+	Key      []byte         // shared key of the mesh
+	Join     []mesh.Addr    // peer addresses of nodes to join
+	Listener net.Listener   // closed when Run returns
+	Packet   net.PacketConn // closed when Run returns; same port as Listener
+	Gate     http.Handler   // serves requests forwarded by other nodes; nil refuses them
+	Platform Source
+	Version  version.Config // nil functions mean those of package config
+
+	// OnSnapshot is called with every new snapshot, in order of version. It
+	// must not call Publish.
+	OnSnapshot func(*config.Snapshot)
+	// OnMembers is called with all remembered members after a change, at most
+	// every 20 ms. The slice belongs to the callee.
+	OnMembers func([]member.Member)
+
+	Metrics *metric.Registry // nil means a new one
+	Log     *zap.Logger      // nil logs nothing
+}
+
+func (c *Config) fill() error {
+	var errs []error
+	if c.Self.ID == "" {
+		errs = append(errs, errors.New("peer: Self.ID is empty"))
+	}
+	if c.Self.Addr == "" {
+		errs = append(errs, errors.New("peer: Self.Addr is empty"))
+	}
+	if len(c.Key) == 0 {
+		errs = append(errs, errors.New("peer: Key is empty"))
+	}
+	if c.Listener == nil || c.Packet == nil {
+		errs = append(errs, errors.New("peer: Listener and Packet must be set"))
+	}
+	if c.Gate == nil {
+		c.Gate = http.NotFoundHandler()
+	}
+	if c.OnSnapshot == nil {
+		c.OnSnapshot = func(*config.Snapshot) {}
+	}
+	if c.OnMembers == nil {
+		c.OnMembers = func([]member.Member) {}
+	}
+	if c.Metrics == nil {
+		c.Metrics = metric.New()
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	c.Platform.fill()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/peer/fetch.go
@@ -0,0 +1,224 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	fetchTimeout = 5 * time.Second
+	// pushWait is the mean wait for a push on its way before a version that a
+	// message showed is fetched.
+	pushWait = 150 * time.Millisecond
+	// wantAtOnce is the number of parts asked for in one request.
+	wantAtOnce = 1000
+	// helpers is the number of peers asked for parts before the platform.
+	helpers = 2
+)
+
+// hint is a member that holds a version above the one held.
+type hint struct {
+	from    member.Member
+	version mesh.Version
+	reason  string
+	whole   bool // a delta from this member was refused
+}
+
+func (p *Peer) hint(h hint) {
+	select {
+	case p.hints <- h:
+	default: // later messages repeat the version
+	}
+}
+
+// catchUp fetches the versions that hints tell of.
+func (p *Peer) catchUp(ctx context.Context) error {
+	failures := 0
+	for {
+		var h hint
+		select {
+		case <-ctx.Done():
+			return nil
+		case h = <-p.hints:
+		}
+		if h.version <= p.Version() {
+			continue
+		}
+		if h.reason == "message" && p.Version() > 0 {
+			if sleep(ctx, jitter(pushWait)) != nil {
+				return nil
+			}
+			if h.version <= p.Version() {
+				continue
+			}
+		}
+		p.stats.fetches.Add(h.reason, 1)
+		if err := p.fetch(ctx, h); err != nil {
+			p.stats.fetches.Add("failed", 1)
+			p.log.Debug("fetch failed", zap.String("node", string(h.from.ID)), zap.Error(err))
+			failures++
+			if sleep(ctx, backoff(failures, pushWait, fetchTimeout)) != nil {
+				return nil
+			}
+			continue
+		}
+		failures = 0
+	}
+}
+
+// fetch brings this node to the version of another member: by a delta, or by
+// the complete manifest if there is none or it is refused.
+func (p *Peer) fetch(ctx context.Context, h hint) error {
+	have := p.Version()
+	if h.whole {
+		have = 0
+	}
+	a, err := call(ctx, p, "fetch", fetchTimeout, p.at(h.from.Addr).Fetch, &peerpb.FetchRequest{Have: uint64(have)})
+	if err != nil {
+		return err
+	}
+	if mesh.Version(a.GetVersion()) <= p.Version() {
+		return nil
+	}
+	if a.GetDelta() == nil {
+		return p.fetchWhole(ctx, h.from.Addr, a)
+	}
+	d, err := fromDelta(a.GetDelta())
+	if err == nil {
+		p.vmu.Lock()
+		err = p.applyDelta(d, fromMillis(a.GetCommitted()))
+		p.vmu.Unlock()
+	} else {
+		p.stats.rejected.Add("malformed", 1)
+	}
+	if err == nil || errors.Is(err, version.ErrOld) {
+		return nil
+	}
+	p.stats.fetches.Add("whole", 1)
+	a, err = call(ctx, p, "fetch", fetchTimeout, p.at(h.from.Addr).Fetch, &peerpb.FetchRequest{})
+	if err != nil {
+		return err
+	}
+	return p.fetchWhole(ctx, h.from.Addr, a)
+}
+
+// fetchWhole applies the manifest in a, whose parts it fetches from the node
+// at address from.
+func (p *Peer) fetchWhole(ctx context.Context, from mesh.Addr, a *peerpb.FetchResponse) error {
+	digest, err := fromDigest(a.GetDigest())
+	if err != nil {
+		return err
+	}
+	es, err := fromEntries(a.GetManifest())
+	if err != nil {
+		return err
+	}
+	m := config.Manifest{Entries: es}
+	if got := p.digest(m); got != digest {
+		p.stats.rejected.Add("digest", 1)
+		return fmt.Errorf("%w: manifest has digest %s, want %s", version.ErrDigest, got, digest)
+	}
+	parts, left, err := p.partsFrom(ctx, from, p.missing(m, nil))
+	if err != nil {
+		return err
+	}
+	if len(left) > 0 {
+		more, err := p.gather(ctx, left)
+		if err != nil {
+			return err
+		}
+		parts = append(parts, more...)
+	}
+	p.vmu.Lock()
+	defer p.vmu.Unlock()
+	err = p.applyWhole(mesh.Version(a.GetVersion()), digest, m, parts, fromMillis(a.GetCommitted()))
+	if errors.Is(err, version.ErrOld) {
+		return nil
+	}
+	return err
+}
+
+// partsFrom fetches parts from the node at address from and returns them and
+// the digests of those that it does not hold.
+func (p *Peer) partsFrom(ctx context.Context, from mesh.Addr, want []mesh.Digest) ([]config.Part, []mesh.Digest, error) {
+	var out []config.Part
+	for len(want) > 0 {
+		n := min(len(want), wantAtOnce)
+		q := &peerpb.FetchRequest{Want: make([][]byte, n)}
+		for i, d := range want[:n] {
+			q.Want[i] = d[:]
+		}
+		a, err := call(ctx, p, "fetch", fetchTimeout, p.at(from).Fetch, q)
+		if err != nil {
+			return out, want, err
+		}
+		got := make(map[mesh.Digest]bool, n)
+		for _, part := range fromParts(a.GetParts()) {
+			got[mesh.DigestOf(part)] = true
+			out = append(out, part)
+		}
+		left := want[:0:0]
+		for _, d := range want {
+			if !got[d] {
+				left = append(left, d)
+			}
+		}
+		if len(left) == len(want) {
+			return out, want, nil
+		}
+		want = left
+	}
+	return out, nil, nil
+}
+
+// gather fetches parts from a few peers, then from the platform.
+func (p *Peer) gather(ctx context.Context, want []mesh.Digest) ([]config.Part, error) {
+	var out []config.Part
+	for _, m := range p.someAlive(helpers) {
+		got, left, err := p.partsFrom(ctx, m.Addr, want)
+		if err != nil {
+			p.log.Debug("cannot fetch parts", zap.String("node", string(m.ID)), zap.Error(err))
+		}
+		out = append(out, got...)
+		if want = left; len(want) == 0 {
+			return out, nil
+		}
+	}
+	for _, d := range want {
+		part, err := p.cfg.Platform.Part(ctx, d)
+		if err != nil {
+			p.stats.platform.Add("part_failed", 1)
+			return nil, fmt.Errorf("part %s: %w", d, err)
+		}
+		p.stats.platform.Add("part", 1)
+		if mesh.DigestOf(part) != d {
+			p.stats.rejected.Add("digest", 1)
+			return nil, fmt.Errorf("%w: part %s", version.ErrDigest, d)
+		}
+		out = append(out, part)
+	}
+	return out, nil
+}
+
+// someAlive returns up to n random other members that are alive.
+func (p *Peer) someAlive(n int) []member.Member {
+	var ms []member.Member
+	for _, m := range p.members() {
+		if m.Status == member.Alive && m.ID != p.cfg.Self.ID {
+			ms = append(ms, m)
+		}
+	}
+	rand.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
+	return ms[:min(n, len(ms))]
+}
--- /dev/null
+++ b/internal/peer/join.go
@@ -0,0 +1,240 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	// joinJitter spreads the joins of nodes that start together.
+	joinJitter = 200 * time.Millisecond
+	joinBase   = 250 * time.Millisecond
+	joinLimit  = 15 * time.Second
+	// syncPeriod is the mean time between two exchanges with a random member,
+	// which repair updates that were lost.
+	syncPeriod = time.Minute
+	// mergePeriod is the mean time between two attempts to reach addresses
+	// from the settings or the table that are not known as members.
+	mergePeriod = 30 * time.Second
+	// joinAtOnce is the number of addresses tried in one attempt to join.
+	joinAtOnce  = 4
+	syncTimeout = 5 * time.Second
+	// maxSyncs is the number of exchanges served at a time. Each may hold the
+	// whole view, about 200 KB at 2,500 members.
+	maxSyncs = 16
+)
+
+var errBusy = errors.New("too many nodes join at a time")
+
+// join exchanges views with other nodes: until one has answered, then now and
+// then.
+func (p *Peer) join(ctx context.Context) error {
+	if sleep(ctx, time.Duration(rand.Int64N(int64(joinJitter)))) != nil {
+		return nil
+	}
+	for n := 0; ; n++ {
+		if p.joinOnce(ctx) {
+			break
+		}
+		if sleep(ctx, backoff(n, joinBase, joinLimit)) != nil {
+			return nil
+		}
+	}
+	return p.keepSynced(ctx)
+}
+
+// joinOnce tries to reach a node from the settings, else from the table. It
+// reports true when a node answered.
+func (p *Peer) joinOnce(ctx context.Context) bool {
+	if p.syncAny(ctx, p.cfg.Join) {
+		return true
+	}
+	nctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	addrs, err := p.cfg.Platform.Nodes(nctx)
+	if err != nil {
+		p.stats.platform.Add("nodes_failed", 1)
+		return false
+	}
+	p.stats.platform.Add("nodes", 1)
+	return p.syncAny(ctx, addrs)
+}
+
+// syncAny exchanges views with the first node that answers among a few random
+// ones of addrs.
+func (p *Peer) syncAny(ctx context.Context, addrs []mesh.Addr) bool {
+	tried := 0
+	for _, i := range rand.Perm(len(addrs)) {
+		if addrs[i] == p.cfg.Self.Addr {
+			continue
+		}
+		if err := p.sync(ctx, addrs[i]); err == nil {
+			return true
+		} else if ctx.Err() == nil {
+			p.log.Debug("cannot join", zap.String("addr", string(addrs[i])), zap.Error(err))
+		}
+		if tried++; tried == joinAtOnce {
+			break
+		}
+	}
+	return false
+}
+
+// keepSynced exchanges views with random members, and tries to reach nodes
+// outside the view so that the sides of a partition find each other again.
+func (p *Peer) keepSynced(ctx context.Context) error {
+	routine := time.NewTimer(p.untilSync())
+	merge := time.NewTimer(jitter(mergePeriod))
+	defer routine.Stop()
+	defer merge.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.syncs:
+			p.syncOne(ctx)
+		case <-routine.C:
+			p.syncOne(ctx)
+			routine.Reset(p.untilSync())
+		case <-merge.C:
+			p.mergeOnce(ctx)
+			merge.Reset(jitter(mergePeriod))
+		}
+	}
+}
+
+// untilSync returns the time to the next exchange. A node that is not ready
+// asks often, since it waits for the answer of a ready peer.
+func (p *Peer) untilSync() time.Duration {
+	if p.Ready() {
+		return jitter(syncPeriod)
+	}
+	return jitter(readPeriod)
+}
+
+// syncOne exchanges views with a random member.
+func (p *Peer) syncOne(ctx context.Context) {
+	for _, m := range p.someAlive(1) {
+		if err := p.sync(ctx, m.Addr); err != nil {
+			p.log.Debug("cannot exchange views", zap.String("node", string(m.ID)), zap.Error(err))
+		}
+	}
+}
+
+// mergeOnce tries addresses from the settings that are not members. A node
+// that sees less than half of the remembered members tries the table too.
+func (p *Peer) mergeOnce(ctx context.Context) {
+	p.syncAny(ctx, p.unknown(p.cfg.Join))
+	alive, lost := 0, 0
+	for _, m := range p.members() {
+		switch m.Status {
+		case member.Alive:
+			alive++
+		case member.Suspect, member.Dead:
+			lost++
+		}
+	}
+	if alive > 1 && lost <= alive {
+		return
+	}
+	nctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	addrs, err := p.cfg.Platform.Nodes(nctx)
+	if err != nil {
+		p.stats.platform.Add("nodes_failed", 1)
+		return
+	}
+	p.stats.platform.Add("nodes", 1)
+	p.syncAny(ctx, p.unknown(addrs))
+}
+
+// unknown returns the addresses that are not of members alive or suspect.
+func (p *Peer) unknown(addrs []mesh.Addr) []mesh.Addr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []mesh.Addr
+	for _, a := range addrs {
+		if !p.list.Knows(a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// sync exchanges views with the node at address a: it asks for the buckets
+// that differ and sends back what the other node lacks.
+func (p *Peer) sync(ctx context.Context, a mesh.Addr) error {
+	p.mu.Lock()
+	q := p.syncRequest()
+	q.Digests = p.list.Digests()
+	p.mu.Unlock()
+	r, err := call(ctx, p, "sync", syncTimeout, p.at(a).Sync, q)
+	if err != nil {
+		return err
+	}
+	us, err := fromMembers(r.GetMembers())
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	p.list.Merge(now, us)
+	send := lacking(p.list.In(now, buckets(r.GetBuckets())), us)
+	back := p.syncRequest()
+	p.mu.Unlock()
+	p.touched()
+	p.rmu.Lock()
+	p.readiness.Peer(now, mesh.Version(r.GetVersion()), r.GetReady())
+	p.rmu.Unlock()
+	if v := mesh.Version(r.GetVersion()); v > p.Version() {
+		from := member.Member{ID: mesh.NodeID(r.GetFrom()), Addr: a}
+		p.hint(hint{from: from, version: v, reason: "join"})
+	}
+	if len(send) == 0 {
+		return nil
+	}
+	back.Members = toMembers(send)
+	_, err = call(ctx, p, "sync", syncTimeout, p.at(a).Sync, back)
+	return err
+}
+
+// syncRequest returns a request without digests and members. The caller holds
+// mu.
+func (p *Peer) syncRequest() *peerpb.SyncRequest {
+	return &peerpb.SyncRequest{
+		From:    toMember(member.Update{Member: p.list.Self()}),
+		Version: uint64(p.Version()),
+	}
+}
+
+// lacking returns the updates in own that theirs lacks or has in an older form.
+func lacking(own, theirs []member.Update) []member.Update {
+	has := make(map[mesh.NodeID]member.Member, len(theirs))
+	for _, u := range theirs {
+		has[u.ID] = u.Member
+	}
+	var out []member.Update
+	for _, u := range own {
+		h, ok := has[u.ID]
+		if !ok && u.Status < member.Dead || ok && u.Overrides(h) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func buckets(bs []uint32) []int {
+	out := make([]int, len(bs))
+	for i, b := range bs {
+		out[i] = int(b)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/key.go
@@ -0,0 +1,26 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// tagSize is the length of the tag of a datagram. HMAC-SHA256 is cut to 128
+// bits, as RFC 2104 allows, to save 16 bytes in each datagram.
+const tagSize = 16
+
+// derive returns the key for one use of the shared key.
+func derive(key []byte, use string) []byte { return sum(key, []byte("lavenderrill "+use)) }
+
+func sum(key []byte, data ...[]byte) []byte {
+	h := hmac.New(sha256.New, key)
+	for _, d := range data {
+		h.Write(d)
+	}
+	return h.Sum(nil)
+}
+
+// HopToken returns the token that a node sends in mesh.HopHeader with each
+// request that it forwards to another node.
+func HopToken(key []byte) string { return hex.EncodeToString(derive(key, "hop")) }
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,295 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// queueLength bounds the pushes and hints that wait to be worked on.
+const queueLength = 64
+
+// Peer is the part of a node that talks to the other nodes.
+type Peer struct {
+	cfg    Config
+	log    *zap.Logger
+	stats  *stats
+	codec  codec
+	signer signer
+	hop    []byte // token of forwarded requests
+	client *http.Client
+
+	mu    sync.Mutex // guards list
+	list  *member.List
+	view  view
+	told  uint64        // changes that OnMembers was told of
+	wake  chan struct{} // the next tick may be due earlier
+	moved chan struct{} // the members changed
+
+	vmu      sync.Mutex // guards state
+	state    *version.State
+	snapshot atomic.Pointer[config.Snapshot]
+
+	rmu       sync.Mutex // guards readiness
+	readiness version.Readiness
+
+	hints   chan hint     // peers that show a higher version
+	spreads chan spread   // versions to push
+	heads   chan struct{} // read the platform's head now
+	syncs   chan struct{} // exchange views with a member now
+
+	syncSlot chan struct{}
+}
+
+// view is the member list that was built last.
+type view struct {
+	changes uint64
+	members []member.Member
+}
+
+// New returns a Peer that is not yet running.
+func New(c Config) (*Peer, error) {
+	if err := c.fill(); err != nil {
+		return nil, err
+	}
+	p := &Peer{
+		cfg:      c,
+		log:      c.Log,
+		stats:    newStats(c.Metrics),
+		codec:    codec{derive(c.Key, "datagram")},
+		signer:   signer{derive(c.Key, "request")},
+		hop:      []byte(HopToken(c.Key)),
+		wake:     make(chan struct{}, 1),
+		moved:    make(chan struct{}, 1),
+		state:    version.New(c.Version),
+		hints:    make(chan hint, queueLength),
+		spreads:  make(chan spread, queueLength),
+		heads:    make(chan struct{}, 1),
+		syncs:    make(chan struct{}, 1),
+		syncSlot: make(chan struct{}, maxSyncs),
+	}
+	p.list = member.New(member.Config{
+		Self:   c.Self,
+		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Budget: updateBudget,
+		Size:   sizeOf,
+	}, time.Now())
+	p.client = p.newClient()
+	p.gauges()
+	return p, nil
+}
+
+func (p *Peer) gauges() {
+	r := p.cfg.Metrics
+	r.Gauge("config_version", func() any { return p.Version() })
+	r.Gauge("peer_ready", func() any { return p.Ready() })
+	r.Gauge("membership", func() any {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		c := p.list.Counts()
+		return map[string]int64{
+			"members": int64(p.list.Size()), "probes": c.Probes, "failed": c.Failed, "suspicions": c.Suspicions,
+			"deaths": c.Deaths, "refutations": c.Refutations, "pauses": c.Pauses, "replaced": c.Replaced,
+		}
+	})
+}
+
+// task is one of the long-running functions of a Peer.
+type task struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Run runs the Peer until ctx is done or a part of it fails, and closes its
+// sockets.
+func (p *Peer) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	srv := p.newServer()
+	tasks := []task{
+		{"serve", func(context.Context) error { return p.serve(srv) }},
+		{"close", func(ctx context.Context) error { return p.closeSockets(ctx, srv) }},
+		{"receive", p.receive},
+		{"tick", p.tick},
+		{"notify", p.notify},
+		{"join", p.join},
+		{"read head", p.readHead},
+		{"catch up", p.catchUp},
+		{"spread", p.spread},
+	}
+	type end struct {
+		name string
+		err  error
+	}
+	ends := make(chan end)
+	for _, t := range tasks {
+		go func() { ends <- end{t.name, t.run(ctx)} }()
+	}
+	var first error
+	for range tasks {
+		e := <-ends
+		if e.err != nil && first == nil && ctx.Err() == nil {
+			first = fmt.Errorf("peer: %s: %w", e.name, e.err)
+		}
+		cancel()
+	}
+	p.client.CloseIdleConnections()
+	return first
+}
+
+// Snapshot returns the current configuration, or nil if there is none.
+func (p *Peer) Snapshot() *config.Snapshot { return p.snapshot.Load() }
+
+// Version returns the version of the current configuration, 0 without one.
+func (p *Peer) Version() mesh.Version {
+	if s := p.snapshot.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// Members returns all remembered members, this node included, sorted by id.
+// The slice belongs to the caller.
+func (p *Peer) Members() []member.Member { return slices.Clone(p.members()) }
+
+// members is Members with a shared slice.
+func (p *Peer) members() []member.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.list.Changes(); p.view.members == nil || p.view.changes != c {
+		p.view = view{changes: c, members: p.list.Members()}
+	}
+	return p.view.members
+}
+
+// Ready reports whether this node holds the highest version known to it and
+// may serve.
+func (p *Peer) Ready() bool {
+	p.rmu.Lock()
+	defer p.rmu.Unlock()
+	return p.readiness.Ready(time.Now(), p.Version())
+}
+
+// SetEndpoint sets the endpoint of this node and spreads the change at once.
+func (p *Peer) SetEndpoint(s mesh.Service, slots int, e member.EndpointState) {
+	p.mu.Lock()
+	p.list.SetEndpoint(time.Now(), s, slots, e)
+	p.mu.Unlock()
+	p.touched()
+}
+
+// Leave tells the other nodes that this node leaves and returns once the
+// message was sent to several of them. Run must still be running.
+func (p *Peer) Leave(ctx context.Context) error {
+	const (
+		rounds = 4
+		pause  = 50 * time.Millisecond
+	)
+	p.mu.Lock()
+	p.list.Leave(time.Now())
+	p.mu.Unlock()
+	for range rounds {
+		p.mu.Lock()
+		out := p.list.Gossip(time.Now())
+		p.mu.Unlock()
+		p.send(out)
+		if err := sleep(ctx, pause); err != nil {
+			return fmt.Errorf("leave: %w", err)
+		}
+	}
+	return nil
+}
+
+// touched wakes the tasks that depend on the member list.
+func (p *Peer) touched() {
+	signal(p.wake)
+	p.mu.Lock()
+	changed := p.list.Changes() != p.told
+	p.mu.Unlock()
+	if changed {
+		signal(p.moved)
+	}
+}
+
+// notify hands the members to OnMembers after changes.
+func (p *Peer) notify(ctx context.Context) error {
+	const interval = 20 * time.Millisecond
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.moved:
+		}
+		p.mu.Lock()
+		p.told = p.list.Changes()
+		p.mu.Unlock()
+		p.cfg.OnMembers(p.Members())
+		if sleep(ctx, interval) != nil {
+			return nil
+		}
+	}
+}
+
+// hopAllowed reports whether token is the token of this mesh.
+func (p *Peer) hopAllowed(token string) bool {
+	return subtle.ConstantTimeCompare([]byte(token), p.hop) == 1
+}
+
+// route sends forwarded requests to the gate and all others to rpc.
+func (p *Peer) route(rpc http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if token := r.Header.Get(mesh.HopHeader); token != "" {
+			if !p.hopAllowed(token) {
+				p.refuse(w, fault.New(fault.Unauthorized, "hop token is wrong"))
+				return
+			}
+			p.cfg.Gate.ServeHTTP(w, r)
+			return
+		}
+		rpc.ServeHTTP(w, r)
+	})
+}
+
+// signal puts a token in c unless one waits already.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// jitter returns a random duration between d/2 and 3d/2.
+func jitter(d time.Duration) time.Duration { return d/2 + time.Duration(rand.Int64N(int64(d))) }
+
+// backoff returns the jittered wait after n failures in a row, from base to
+// limit.
+func backoff(n int, base, limit time.Duration) time.Duration {
+	const doublings = 16
+	return jitter(min(base<<min(n, doublings), limit))
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,322 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// lossy drops a share of the datagrams sent, and all datagrams while cut.
+type lossy struct {
+	net.PacketConn
+	loss float64
+	cut  atomic.Bool
+}
+
+func (l *lossy) WriteTo(b []byte, a net.Addr) (int, error) {
+	if l.cut.Load() || rand.Float64() < l.loss {
+		return len(b), nil
+	}
+	return l.PacketConn.WriteTo(b, a)
+}
+
+func (l *lossy) ReadFrom(b []byte) (int, net.Addr, error) {
+	for {
+		n, a, err := l.PacketConn.ReadFrom(b)
+		if err != nil || !l.cut.Load() {
+			return n, a, err
+		}
+	}
+}
+
+// cutListener accepts connections that fail while cut.
+type cutListener struct {
+	net.Listener
+	cut *atomic.Bool
+}
+
+func (l cutListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return cutConn{c, l.cut}, err
+}
+
+type cutConn struct {
+	net.Conn
+	cut *atomic.Bool
+}
+
+func (c cutConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.cut.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// source is a platform in memory.
+type source struct {
+	mu        sync.Mutex
+	down      bool
+	manifests map[mesh.Digest]config.Manifest
+	parts     map[mesh.Digest]config.Part
+}
+
+var errDown = errors.New("platform is down")
+
+func newSource() *source {
+	return &source{manifests: make(map[mesh.Digest]config.Manifest), parts: make(map[mesh.Digest]config.Part)}
+}
+
+func (s *source) head(context.Context) (mesh.Version, mesh.Digest, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, mesh.Digest{}, errDown
+	}
+	return 0, mesh.Digest{}, nil
+}
+
+func (s *source) source() Source { return Source{Head: s.head} }
+
+// testPeer is a running Peer.
+type testPeer struct {
+	*Peer
+	udp    *lossy
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func (p *testPeer) stop() error {
+	p.cancel()
+	return <-p.done
+}
+
+var testKey = []byte("0123456789abcdef")
+
+type option func(*Config, *lossy)
+
+// start runs a Peer that joins the given ones. It is stopped with the test.
+func start(t testing.TB, id int, join []*testPeer, opts ...option) *testPeer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u, err := net.ListenPacket("udp", l.Addr().String())
+	require.NoError(t, err)
+	udp := &lossy{PacketConn: u}
+	c := Config{
+		Self: member.Member{
+			ID: mesh.NodeID(fmt.Sprintf("node-%03d", id)), Zone: mesh.AvailabilityZone(fmt.Sprintf("zone-%d", id%3)),
+			Addr: mesh.Addr(l.Addr().String()), Service: "katalog", Slots: 20, Endpoint: member.Ready,
+		},
+		Key:      testKey,
+		Listener: cutListener{l, &udp.cut},
+		Packet:   udp,
+		Platform: newSource().source(),
+	}
+	for _, j := range join {
+		c.Join = append(c.Join, j.cfg.Self.Addr)
+	}
+	for _, o := range opts {
+		o(&c, udp)
+	}
+	p, err := New(c)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	tp := &testPeer{Peer: p, udp: udp, cancel: cancel, done: make(chan error, 1)}
+	go func() { tp.done <- p.Run(ctx); close(tp.done) }()
+	t.Cleanup(func() { _ = tp.stop() })
+	return tp
+}
+
+func withLoss(share float64) option { return func(_ *Config, l *lossy) { l.loss = share } }
+
+// startAll starts n peers and waits until all know each other.
+func startAll(t testing.TB, n int, opts ...option) []*testPeer {
+	t.Helper()
+	ps := make([]*testPeer, n)
+	for i := range ps {
+		ps[i] = start(t, i, ps[:min(i, 1)], opts...)
+	}
+	eventually(t, 30*time.Second, func() bool {
+		for _, p := range ps {
+			if alive(p) != n {
+				return false
+			}
+		}
+		return true
+	}, "all peers know each other")
+	return ps
+}
+
+func alive(p *testPeer) int {
+	n := 0
+	for _, m := range p.Members() {
+		if m.Status == member.Alive {
+			n++
+		}
+	}
+	return n
+}
+
+func eventually(t testing.TB, limit time.Duration, f func() bool, what string) {
+	t.Helper()
+	require.Eventually(t, f, limit, 5*time.Millisecond, what)
+}
+
+// edit returns the manifest of version v and its parts: one document differs
+// from the version before.
+func edit(v mesh.Version) (config.Manifest, []config.Part) {
+	fleet := config.Part(`{"fleet":"test"}`)
+	doc := config.Part(fmt.Sprintf(`{"account":"a","edit":%d}`, v))
+	return config.Manifest{Entries: []config.Entry{
+		{Key: config.AccountKey("a"), Revision: mesh.Revision(v), Part: mesh.DigestOf(doc)},
+		{Key: config.FleetKey, Revision: 1, Part: mesh.DigestOf(fleet)},
+	}}, []config.Part{doc, fleet}
+}
+
+func publish(t testing.TB, p *testPeer, v mesh.Version) {
+	t.Helper()
+	m, parts := edit(v)
+	require.NoError(t, p.Publish(context.Background(), v, m, parts))
+}
+
+func allAt(ps []*testPeer, v mesh.Version) func() bool {
+	return func() bool {
+		for _, p := range ps {
+			if p.Version() != v {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestConverge guards against an edit that does not reach every node when
+// datagrams are lost.
+func TestConverge(t *testing.T) {
+	ps := startAll(t, 10, withLoss(0.05))
+	for v := mesh.Version(1); v <= 3; v++ {
+		publish(t, ps[int(v)], v)
+		eventually(t, 5*time.Second, allAt(ps, v), "all peers apply the edit")
+	}
+	s, err := ps[0].Survey(context.Background(), 3)
+	require.NoError(t, err)
+	require.True(t, s.Complete(), "%+v", s)
+	require.Len(t, s.Zones, 3)
+	for _, p := range ps {
+		require.True(t, p.Ready())
+	}
+}
+
+// TestPartitionHeals guards against a node that stays behind, or stays out of
+// the views, after it was cut off.
+func TestPartitionHeals(t *testing.T) {
+	ps := startAll(t, 5)
+	publish(t, ps[0], 1)
+	eventually(t, 5*time.Second, allAt(ps, 1), "all peers apply the first edit")
+	cut := ps[4]
+	cut.udp.cut.Store(true)
+	cut.client.CloseIdleConnections()
+	eventually(t, 15*time.Second, func() bool { return alive(ps[0]) == 4 }, "the cut peer is declared dead")
+	publish(t, ps[0], 2)
+	eventually(t, 5*time.Second, allAt(ps[:4], 2), "the others apply the edit")
+	require.EqualValues(t, 1, cut.Version())
+	cut.udp.cut.Store(false)
+	eventually(t, 30*time.Second, allAt(ps, 2), "the cut peer catches up")
+	eventually(t, 30*time.Second, func() bool { return alive(ps[0]) == 5 && alive(cut) == 5 }, "views merge")
+}
+
+// TestLeave guards against a node that left and comes back to the views.
+func TestLeave(t *testing.T) {
+	ps := startAll(t, 5, withLoss(0.05))
+	gone := ps[4]
+	require.NoError(t, gone.Leave(context.Background()))
+	require.NoError(t, gone.stop())
+	eventually(t, 5*time.Second, func() bool {
+		for _, p := range ps[:4] {
+			if m := find(p, gone.cfg.Self.ID); m.Status != member.Left || m.Endpoint != member.Draining {
+				return false
+			}
+		}
+		return true
+	}, "all peers know that the node left")
+	require.Never(t, func() bool { return find(ps[0], gone.cfg.Self.ID).Status != member.Left }, 3*time.Second, 20*time.Millisecond)
+}
+
+func find(p *testPeer, id mesh.NodeID) member.Member {
+	for _, m := range p.Members() {
+		if m.ID == id {
+			return m
+		}
+	}
+	return member.Member{}
+}
+
+// TestWrongKey guards against a node that is admitted without the shared key.
+func TestWrongKey(t *testing.T) {
+	a := start(t, 0, nil)
+	eventually(t, 5*time.Second, a.Ready, "the first node is ready")
+	b := start(t, 1, []*testPeer{a}, func(c *Config, _ *lossy) { c.Key = []byte("another key of 16") })
+	require.Never(t, func() bool { return alive(a) > 1 || alive(b) > 1 }, 2*time.Second, 20*time.Millisecond)
+	require.NotNil(t, a.stats.refused.Get("unauthorized"))
+}
+
+// TestGate guards against requests that reach the gate without the token of
+// the mesh.
+func TestGate(t *testing.T) {
+	p := start(t, 0, nil, func(c *Config, _ *lossy) {
+		c.Gate = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	})
+	for token, want := range map[string]int{HopToken(testKey): http.StatusTeapot, "wrong": http.StatusUnauthorized, "": http.StatusUnauthorized} {
+		r, err := http.NewRequest(http.MethodPost, "http://"+string(p.cfg.Self.Addr)+"/x", http.NoBody)
+		require.NoError(t, err)
+		if token != "" {
+			r.Header.Set(mesh.HopHeader, token)
+		}
+		a, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+		require.Equal(t, want, a.StatusCode, "token %q", token)
+	}
+}
+
+// TestCorruptDelta guards against a delta that is applied in part: any damaged
+// copy is refused and the version held stays, until the whole is fetched.
+func TestCorruptDelta(t *testing.T) {
+	p := start(t, 0, nil)
+	publish(t, p, 1)
+	before := p.Snapshot()
+	m, parts := edit(2)
+	good := config.Delta{Base: 1, Target: 2, Digest: p.digest(m), Changed: m.Entries[:1], Parts: parts[:1]}
+	for name, damage := range map[string]func(*config.Delta){
+		"part cut":      func(d *config.Delta) { d.Parts = []config.Part{parts[0][:5]} },
+		"part absent":   func(d *config.Delta) { d.Parts = nil },
+		"entry absent":  func(d *config.Delta) { d.Changed = nil },
+		"other digest":  func(d *config.Delta) { d.Digest[0]++ },
+		"extra removal": func(d *config.Delta) { d.Removed = []config.DocumentKey{config.FleetKey} },
+	} {
+		d := good
+		damage(&d)
+		p.offer(offer{delta: d})
+		require.Same(t, before, p.Snapshot(), name)
+	}
+	p.offer(offer{delta: good})
+	require.EqualValues(t, 2, p.Version())
+	p.vmu.Lock()
+	defer p.vmu.Unlock()
+	require.Equal(t, version.Ignore, p.state.Decide(2, 1, true))
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/peer/peerpb/peerpbconnect"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 90 * time.Second
+	maxHeader     = 64 << 10
+	// rpcTimeout bounds one request between nodes on the receiving side.
+	rpcTimeout = 15 * time.Second
+	// maxRPCs bounds the requests between nodes that are served at a time.
+	maxRPCs = 128
+	// shutdownTimeout bounds the wait for requests in flight at the end of
+	// Run. The owner drains the gate before.
+	shutdownTimeout = 5 * time.Second
+	// compressFrom is the size in bytes from which messages are compressed.
+	compressFrom = 1024
+)
+
+// newServer returns the server of the peer listener.
+func (p *Peer) newServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewPeerServiceHandler(service{p},
+		connect.WithReadMaxBytes(maxBody), connect.WithCompressMinBytes(compressFrom)))
+	return &http.Server{
+		Handler:           p.route(p.limit(p.authenticate(mux))),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ConnContext:       withConn,
+		ErrorLog:          zap.NewStdLog(p.log),
+	}
+}
+
+// limit bounds the number and the duration of requests between nodes, and
+// counts the bytes of their connections.
+func (p *Peer) limit(next http.Handler) http.Handler {
+	read := counter(p.stats.bytesReceived, httpKind)
+	sent := counter(p.stats.bytesSent, httpKind)
+	slots := make(chan struct{}, maxRPCs)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := connOf(r.Context()); ok {
+			c.count(read, sent)
+		}
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		default:
+			p.refuse(w, fault.New(fault.Overloaded, "too many requests between nodes"))
+			return
+		}
+		rc := http.NewResponseController(w)
+		end := time.Now().Add(rpcTimeout)
+		if err := errors.Join(rc.SetReadDeadline(end), rc.SetWriteDeadline(end)); err != nil {
+			p.refuse(w, fault.Newf(fault.Internal, "set deadline: %w", err))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *Peer) serve(srv *http.Server) error {
+	return srv.Serve(countedListener{p.cfg.Listener})
+}
+
+// closeSockets waits for the end of ctx and closes the sockets.
+func (p *Peer) closeSockets(ctx context.Context, srv *http.Server) error {
+	<-ctx.Done()
+	err := p.cfg.Packet.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if e := srv.Shutdown(end); e != nil {
+		err = errors.Join(err, e, srv.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/peer/spread.go
@@ -0,0 +1,194 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	// pushTimeout is the wait for the answer to a push, after which the sender
+	// takes over the children of the silent node.
+	pushTimeout = time.Second
+	// maxSpreads is the number of versions that are pushed at a time.
+	maxSpreads = 8
+)
+
+// scope says which part of the tree a node starts a push in.
+type scope uint8
+
+const (
+	zoneTree  scope = iota // the children of this node
+	zoneEntry              // also the entry nodes of its availability zone
+	wholeMesh              // also the entry nodes of all availability zones
+)
+
+// spread is a version to push.
+type spread struct {
+	delta     config.Delta
+	origin    mesh.NodeID
+	committed time.Time
+	scope     scope
+}
+
+func (p *Peer) enqueueSpread(s spread) {
+	select {
+	case p.spreads <- s:
+	default:
+		p.stats.pushes.Add("dropped", 1)
+	}
+}
+
+// spread pushes queued versions until ctx is done.
+func (p *Peer) spread(ctx context.Context) error {
+	done := make(chan struct{})
+	running := 0
+	for {
+		next := p.spreads
+		if running == maxSpreads {
+			next = nil
+		}
+		select {
+		case <-ctx.Done():
+			for ; running > 0; running-- {
+				<-done
+			}
+			return nil
+		case <-done:
+			running--
+		case s := <-next:
+			running++
+			go func() {
+				p.pushAll(ctx, s)
+				done <- struct{}{}
+			}()
+		}
+	}
+}
+
+// targets returns the members that this node pushes s to.
+func (p *Peer) targets(s spread, ms []member.Member) []member.Member {
+	self := p.cfg.Self
+	ts := version.Children(s.delta.Target, self.ID, ms)
+	if s.scope == zoneTree {
+		return ts
+	}
+	seen := make(map[mesh.NodeID]bool)
+	for _, t := range ts {
+		seen[t.ID] = true
+	}
+	for _, e := range version.Entries(s.delta.Target, ms) {
+		if !seen[e.ID] && (s.scope == wholeMesh || e.Zone == self.Zone) {
+			ts = append(ts, e)
+		}
+	}
+	return ts
+}
+
+// pushAll pushes s to the targets of this node and returns when all are done.
+func (p *Peer) pushAll(ctx context.Context, s spread) {
+	ms := p.members()
+	q := &peerpb.PushRequest{
+		Delta:     toDelta(s.delta),
+		Origin:    string(s.origin),
+		From:      string(p.cfg.Self.ID),
+		Committed: toMillis(s.committed),
+	}
+	p.pushEach(ctx, q, p.targets(s, ms), ms)
+}
+
+func (p *Peer) pushEach(ctx context.Context, q *peerpb.PushRequest, targets, ms []member.Member) {
+	done := make(chan struct{})
+	started := 0
+	for _, t := range targets {
+		if t.ID == p.cfg.Self.ID || string(t.ID) == q.GetOrigin() {
+			continue
+		}
+		started++
+		go func() {
+			p.push(ctx, q, t, ms)
+			done <- struct{}{}
+		}()
+	}
+	for range started {
+		<-done
+	}
+}
+
+// push pushes to one member, and to its children in its place if it does not
+// answer.
+func (p *Peer) push(ctx context.Context, q *peerpb.PushRequest, t member.Member, ms []member.Member) {
+	_, err := call(ctx, p, "push", pushTimeout, p.at(t.Addr).Push, q)
+	if err == nil {
+		p.stats.pushes.Add("sent", 1)
+		return
+	}
+	p.stats.pushes.Add("failed", 1)
+	p.log.Debug("push failed", zap.String("node", string(t.ID)), zap.Error(err))
+	v := mesh.Version(q.GetDelta().GetTarget())
+	p.pushEach(ctx, q, version.Children(v, t.ID, ms), ms)
+}
+
+// Publish applies a version that this node committed and starts to push it to
+// all nodes. Parts of the manifest that were neither given nor held are
+// fetched first. A version that is not above the one held is already
+// superseded and is no error.
+func (p *Peer) Publish(ctx context.Context, v mesh.Version, m config.Manifest, parts []config.Part) error {
+	committed := time.Now()
+	digest := p.digest(m)
+	missing := p.missing(m, parts)
+	if len(missing) > 0 {
+		got, err := p.gather(ctx, missing)
+		if err != nil {
+			return fmt.Errorf("publish version %d: %w", v, err)
+		}
+		parts = append(got, parts...)
+	}
+	p.vmu.Lock()
+	action := p.state.Decide(v, 0, false)
+	var err error
+	if action != version.Ignore {
+		err = p.applyWhole(v, digest, m, parts, committed)
+	}
+	d := p.state.Last()
+	p.vmu.Unlock()
+	if err != nil {
+		return fmt.Errorf("publish version %d: %w", v, err)
+	}
+	if action != version.Ignore {
+		p.enqueueSpread(spread{delta: d, origin: p.cfg.Self.ID, committed: committed, scope: wholeMesh})
+	}
+	return nil
+}
+
+// missing returns the parts of m that are neither held nor in parts.
+func (p *Peer) missing(m config.Manifest, parts []config.Part) []mesh.Digest {
+	given := make(map[mesh.Digest]bool, len(parts))
+	for _, part := range parts {
+		given[mesh.DigestOf(part)] = true
+	}
+	p.vmu.Lock()
+	defer p.vmu.Unlock()
+	var out []mesh.Digest
+	for _, d := range p.state.Missing(m) {
+		if !given[d] {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// digest returns the digest of m.
+func (p *Peer) digest(m config.Manifest) mesh.Digest {
+	p.vmu.Lock()
+	defer p.vmu.Unlock()
+	return p.state.DigestOf(m)
+}
--- /dev/null
+++ b/internal/peer/survey.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	// maxLagging bounds the lagging nodes named per availability zone.
+	maxLagging = 20
+	// surveyTimeout bounds a survey without a deadline of its own.
+	surveyTimeout = 3 * time.Second
+	// surveyMargin is the part of the remaining time that a node keeps for
+	// itself, so that a slow subtree does not make its parent late.
+	surveyMargin = 5
+)
+
+// Survey is the answer to how far a version has spread.
+type Survey struct {
+	Version mesh.Version
+	Zones   []ZoneSurvey // sorted by zone
+}
+
+// ZoneSurvey is the part of a Survey for one availability zone.
+type ZoneSurvey struct {
+	Zone    mesh.AvailabilityZone
+	Members int           // members alive or suspect
+	Current int           // those that hold the version or a higher one
+	Lagging []mesh.NodeID // up to 20 others, including those that did not answer
+}
+
+// Complete reports whether every member holds the version.
+func (s Survey) Complete() bool {
+	return !slices.ContainsFunc(s.Zones, func(z ZoneSurvey) bool { return z.Current < z.Members })
+}
+
+// counts holds the answers by availability zone.
+type counts map[mesh.AvailabilityZone]*ZoneSurvey
+
+func (c counts) zone(z mesh.AvailabilityZone) *ZoneSurvey {
+	if c[z] == nil {
+		c[z] = &ZoneSurvey{Zone: z}
+	}
+	return c[z]
+}
+
+// note counts one member.
+func (c counts) note(z mesh.AvailabilityZone, id mesh.NodeID, current bool) {
+	s := c.zone(z)
+	s.Members++
+	if current {
+		s.Current++
+	} else if len(s.Lagging) < maxLagging {
+		s.Lagging = append(s.Lagging, id)
+	}
+}
+
+func (c counts) add(o counts) {
+	for z, s := range o {
+		t := c.zone(z)
+		t.Members += s.Members
+		t.Current += s.Current
+		t.Lagging = append(t.Lagging, s.Lagging...)
+		t.Lagging = t.Lagging[:min(len(t.Lagging), maxLagging)]
+	}
+}
+
+func (c counts) encode() []*peerpb.ZoneCount {
+	var out []*peerpb.ZoneCount
+	for _, s := range c {
+		z := &peerpb.ZoneCount{Zone: string(s.Zone), Members: uint32(s.Members), Current: uint32(s.Current)}
+		for _, id := range s.Lagging {
+			z.Lagging = append(z.Lagging, string(id))
+		}
+		out = append(out, z)
+	}
+	return out
+}
+
+func decodeCounts(zs []*peerpb.ZoneCount) counts {
+	c := make(counts)
+	for _, z := range zs {
+		s := c.zone(mesh.AvailabilityZone(z.GetZone()))
+		s.Members += int(z.GetMembers())
+		s.Current += int(z.GetCurrent())
+		for _, id := range z.GetLagging()[:min(len(z.GetLagging()), maxLagging)] {
+			s.Lagging = append(s.Lagging, mesh.NodeID(id))
+		}
+	}
+	return c
+}
+
+// Survey asks all members that are alive or suspect whether they hold version
+// v or a higher one.
+func (p *Peer) Survey(ctx context.Context, v mesh.Version) (Survey, error) {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	byZone := make(map[mesh.AvailabilityZone][]*peerpb.SurveyMember)
+	for _, m := range p.members() {
+		if m.Status < member.Dead && m.ID != p.cfg.Self.ID {
+			byZone[m.Zone] = append(byZone[m.Zone], &peerpb.SurveyMember{Id: string(m.ID), Zone: string(m.Zone), Addr: string(m.Addr)})
+		}
+	}
+	total := p.surveySelf(v)
+	answers := make(chan counts)
+	for _, ms := range byZone {
+		go func() { answers <- p.surveyGroup(ctx, v, ms) }()
+	}
+	for range byZone {
+		total.add(<-answers)
+	}
+	out := Survey{Version: v}
+	for _, s := range total {
+		slices.Sort(s.Lagging)
+		out.Zones = append(out.Zones, *s)
+	}
+	slices.SortFunc(out.Zones, func(a, b ZoneSurvey) int { return cmp.Compare(a.Zone, b.Zone) })
+	return out, ctx.Err()
+}
+
+// surveySelf returns the counts of this node alone.
+func (p *Peer) surveySelf(v mesh.Version) counts {
+	c := make(counts)
+	c.note(p.cfg.Self.Zone, p.cfg.Self.ID, p.Version() >= v)
+	return c
+}
+
+// surveyMembers asks ms in groups, one for each child in the tree.
+func (p *Peer) surveyMembers(ctx context.Context, v mesh.Version, ms []*peerpb.SurveyMember) counts {
+	size := (len(ms) + version.Fanout - 1) / version.Fanout
+	answers := make(chan counts)
+	groups := 0
+	for len(ms) > 0 {
+		g := ms[:min(size, len(ms))]
+		ms = ms[len(g):]
+		groups++
+		go func() { answers <- p.surveyGroup(ctx, v, g) }()
+	}
+	total := make(counts)
+	for range groups {
+		total.add(<-answers)
+	}
+	return total
+}
+
+// surveyGroup asks the first member of ms about all of ms. A member that does
+// not answer counts as lagging, and the next one is asked in its place.
+func (p *Peer) surveyGroup(ctx context.Context, v mesh.Version, ms []*peerpb.SurveyMember) counts {
+	total := make(counts)
+	for len(ms) > 0 {
+		first := ms[0]
+		ms = ms[1:]
+		q := &peerpb.SurveyRequest{Version: uint64(v), Members: ms}
+		a, err := call(ctx, p, "survey", surveyShare(ctx, len(ms)), p.at(mesh.Addr(first.GetAddr())).Survey, q)
+		if err == nil {
+			total.add(decodeCounts(a.GetZones()))
+			return total
+		}
+		total.note(mesh.AvailabilityZone(first.GetZone()), mesh.NodeID(first.GetId()), false)
+	}
+	return total
+}
+
+// surveyShare returns the time for one request with n members below: part of
+// the remaining time, so that another member can be asked after a failure.
+func surveyShare(ctx context.Context, n int) time.Duration {
+	end, ok := ctx.Deadline()
+	left := surveyTimeout
+	if ok {
+		left = time.Until(end)
+	}
+	if n > 0 {
+		return left / 2
+	}
+	return left - left/surveyMargin
+}
--- /dev/null
+++ b/internal/peer/udp.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// receive reads datagrams until the socket is closed.
+func (p *Peer) receive(ctx context.Context) error {
+	b := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := p.cfg.Packet.ReadFrom(b)
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			// Linux reports an earlier datagram that could not be delivered as
+			// an error of the socket; the socket stays usable.
+			p.stats.refused.Add("read", 1)
+			if err := sleep(ctx, time.Millisecond); err != nil {
+				return err
+			}
+			continue
+		}
+		p.handle(time.Now(), mesh.Addr(from.String()), b[:n])
+	}
+}
+
+// handle takes in one datagram.
+func (p *Peer) handle(now time.Time, from mesh.Addr, b []byte) {
+	m, err := p.codec.decode(now, b)
+	if err != nil {
+		p.stats.refused.Add(datagramReason(err), 1)
+		return
+	}
+	p.stats.bytesReceived.Add(m.Kind.String(), int64(len(b)))
+	p.stats.received.Add(m.Kind.String(), 1)
+	p.mu.Lock()
+	next := p.list.Next()
+	out := p.list.Receive(now, from, m)
+	sooner := p.list.Next().Before(next)
+	changed := p.list.Changes() != p.told
+	sender, known := p.list.Lookup(m.From)
+	p.mu.Unlock()
+	p.send(out)
+	if sooner {
+		signal(p.wake)
+	}
+	if changed {
+		signal(p.moved)
+	}
+	if known {
+		p.seen(now, sender, m.Version)
+	}
+}
+
+func datagramReason(err error) string {
+	switch {
+	case errors.Is(err, errTag):
+		return "tag"
+	case errors.Is(err, errTime):
+		return "time"
+	}
+	return "malformed"
+}
+
+// tick calls the member list when it is due.
+func (p *Peer) tick(ctx context.Context) error {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.wake:
+		case <-t.C:
+			p.tickOnce(time.Now())
+		}
+		p.mu.Lock()
+		next := p.list.Next()
+		p.mu.Unlock()
+		t.Reset(time.Until(next))
+	}
+}
+
+func (p *Peer) tickOnce(now time.Time) {
+	p.mu.Lock()
+	pauses := p.list.Counts().Pauses
+	out := p.list.Tick(now)
+	paused := p.list.Counts().Pauses != pauses
+	changed := p.list.Changes() != p.told
+	p.mu.Unlock()
+	p.send(out)
+	if changed {
+		signal(p.moved)
+	}
+	if paused {
+		p.log.Warn("process was paused; checking for newer versions")
+		p.rmu.Lock()
+		p.readiness.Paused(now)
+		p.rmu.Unlock()
+		signal(p.heads)
+		signal(p.syncs)
+	}
+}
+
+// send sends datagrams. One that cannot be sent counts as lost.
+func (p *Peer) send(ds []member.Datagram) {
+	for _, d := range ds {
+		b, err := p.codec.encode(time.Now(), d.Message)
+		if err != nil {
+			p.log.Error("cannot encode a datagram", zap.Error(err))
+			continue
+		}
+		to, err := netip.ParseAddrPort(string(d.To))
+		if err != nil {
+			p.stats.refused.Add("address", 1)
+			continue
+		}
+		if _, err := p.cfg.Packet.WriteTo(b, net.UDPAddrFromAddrPort(to)); err != nil {
+			p.stats.refused.Add("write", 1)
+			continue
+		}
+		p.stats.bytesSent.Add(d.Message.Kind.String(), int64(len(b)))
+		p.stats.sent.Add(d.Message.Kind.String(), 1)
+	}
+}
