--- a/internal/core/version/state.go
+++ b/internal/core/version/state.go
@@ -50,18 +50,9 @@
 	return "other"
 }
 
-// Config configures a State. Nil functions mean those of package config.
-type Config struct {
-	Compile func(mesh.Version, config.Manifest, func(mesh.Digest) (config.Part, bool)) (*config.Snapshot, error)
-	Apply   func(config.Manifest, config.Delta) (config.Manifest, error)
-	Diff    func(base, target config.Manifest) ([]config.Entry, []config.DocumentKey)
-	Digest  func(config.Manifest) mesh.Digest
-}
-
 // State is the configuration that a node holds. It is not safe for concurrent
 // use.
 type State struct {
-	cfg       Config
 	snapshot  *config.Snapshot
 	manifest  config.Manifest
 	parts     map[mesh.Digest]config.Part
@@ -71,9 +62,8 @@
 }
 
 // New returns a state that holds no configuration.
-func New(c Config) *State {
-	c.fill()
-	return &State{cfg: c, parts: make(map[mesh.Digest]config.Part)}
+func New() *State {
+	return &State{parts: make(map[mesh.Digest]config.Part)}
 }
 
 // Snapshot returns the current snapshot, or nil if there is none.
@@ -154,7 +144,7 @@
 	if d.Base > s.Version() {
 		return nil, fmt.Errorf("%w: %d above %d", ErrBase, d.Base, s.Version())
 	}
-	m, err := s.cfg.Apply(s.manifest, d)
+	m, err := config.Apply(s.manifest, d)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDigest, err)
 	}
@@ -182,14 +172,14 @@
 }
 
 func (s *State) move(v mesh.Version, digest mesh.Digest, m config.Manifest, parts []config.Part, committed time.Time) (*config.Snapshot, error) {
-	if got := s.cfg.Digest(m); got != digest {
+	if got := m.Digest(); got != digest {
 		return nil, fmt.Errorf("%w: manifest of version %d has digest %s, want %s", ErrDigest, v, got, digest)
 	}
 	next, err := s.collect(m, parts)
 	if err != nil {
 		return nil, err
 	}
-	snap, err := s.cfg.Compile(v, m, func(d mesh.Digest) (config.Part, bool) { p, ok := next[d]; return p, ok })
+	snap, err := config.Compile(v, m, func(d mesh.Digest) (config.Part, bool) { p, ok := next[d]; return p, ok })
 	if err != nil {
 		return nil, fmt.Errorf("%w: version %d: %w", ErrInvalid, v, err)
 	}
@@ -220,7 +210,7 @@
 
 // remember keeps the delta from the version held to v, whose parts are given.
 func (s *State) remember(v mesh.Version, digest mesh.Digest, m config.Manifest, parts map[mesh.Digest]config.Part) {
-	changed, removed := s.cfg.Diff(s.manifest, m)
+	changed, removed := config.Diff(s.manifest, m)
 	d := config.Delta{Base: s.Version(), Target: v, Digest: digest, Changed: changed, Removed: removed}
 	if d.Base > 0 {
 		if len(s.deltas) == history {
@@ -278,6 +268,3 @@
 	}
 	return out
 }
-
-// DigestOf returns the digest of m.
-func (s *State) DigestOf(m config.Manifest) mesh.Digest { return s.cfg.Digest(m) }
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
-	"lavenderrill.dev/lavenderrill/internal/core/version"
 	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -51,7 +50,6 @@
 	Packet   net.PacketConn // closed when Run returns; same port as Listener
 	Gate     http.Handler   // serves requests forwarded by other nodes; nil refuses them
 	Platform Source
-	Version  version.Config // nil functions mean those of package config
 
 	// OnSnapshot is called with every new snapshot, in order of version. It
 	// must not call Publish.
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	m := config.Manifest{Entries: es}
-	if got := p.digest(m); got != digest {
+	if got := m.Digest(); got != digest {
 		p.stats.rejected.Add("digest", 1)
 		return fmt.Errorf("%w: manifest has digest %s, want %s", version.ErrDigest, got, digest)
 	}
@@ -165,7 +165,7 @@
 		}
 		got := make(map[mesh.Digest]bool, n)
 		for _, part := range fromParts(a.GetParts()) {
-			got[mesh.DigestOf(part)] = true
+			got[part.Digest()] = true
 			out = append(out, part)
 		}
 		left := want[:0:0]
@@ -202,7 +202,7 @@
 			return nil, fmt.Errorf("part %s: %w", d, err)
 		}
 		p.stats.platform.Add("part", 1)
-		if mesh.DigestOf(part) != d {
+		if part.Digest() != d {
 			p.stats.rejected.Add("digest", 1)
 			return nil, fmt.Errorf("%w: part %s", version.ErrDigest, d)
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -75,7 +75,7 @@
 		hop:      []byte(HopToken(c.Key)),
 		wake:     make(chan struct{}, 1),
 		moved:    make(chan struct{}, 1),
-		state:    version.New(c.Version),
+		state:    version.New(),
 		hints:    make(chan hint, queueLength),
 		spreads:  make(chan spread, queueLength),
 		heads:    make(chan struct{}, 1),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -177,20 +178,48 @@
 	require.Eventually(t, f, limit, 5*time.Millisecond, what)
 }
 
-// edit returns the manifest of version v and its parts: one document differs
-// from the version before.
-func edit(v mesh.Version) (config.Manifest, []config.Part) {
-	fleet := config.Part(`{"fleet":"test"}`)
-	doc := config.Part(fmt.Sprintf(`{"account":"a","edit":%d}`, v))
-	return config.Manifest{Entries: []config.Entry{
-		{Key: config.AccountKey("a"), Revision: mesh.Revision(v), Part: mesh.DigestOf(doc)},
-		{Key: config.FleetKey, Revision: 1, Part: mesh.DigestOf(fleet)},
-	}}, []config.Part{doc, fleet}
+// document is a template for the documents of tests.
+const documents = `fleet: test
+ranks: [{name: urgent, target: 1s, worth: 1, floor: 0.1}]
+services: [{name: katalog, slots: 20, connections: 110}]
+---
+template: t
+parameters: [{name: host, kind: string, required: true}, {name: rate, kind: int, min: 1, max: 1000000, default: 5}]
+routes:
+- {name: r, host: '${host}', path: /p, methods: [GET], service: katalog, rank: urgent, idempotent: true, deadline: 1s, rate: '${rate}'}
+`
+
+// edit returns the manifest of version v with n accounts, and its parts. Each
+// version changes the account a0.
+func edit(v mesh.Version, n int) (config.Manifest, []config.Part) {
+	text := documents
+	for i := range n {
+		rate := 1
+		if i == 0 {
+			rate = int(v)
+		}
+		text += fmt.Sprintf("---\naccount: a%d\ntemplate: t\nparameters: {host: a%d.example, rate: %d}\n", i, i, rate)
+	}
+	docs, err := config.ParseDocuments("test.yaml", strings.NewReader(text))
+	if err != nil {
+		panic(err)
+	}
+	var m config.Manifest
+	var parts []config.Part
+	for _, d := range docs {
+		r := mesh.Revision(1)
+		if d.Key == config.AccountKey("a0") {
+			r = mesh.Revision(v)
+		}
+		m = m.With(config.Entry{Key: d.Key, Revision: r, Part: d.Part.Digest()})
+		parts = append(parts, d.Part)
+	}
+	return m, parts
 }
 
 func publish(t testing.TB, p *testPeer, v mesh.Version) {
 	t.Helper()
-	m, parts := edit(v)
+	m, parts := edit(v, 3)
 	require.NoError(t, p.Publish(context.Background(), v, m, parts))
 }
 
@@ -300,10 +329,13 @@
 	p := start(t, 0, nil)
 	publish(t, p, 1)
 	before := p.Snapshot()
-	m, parts := edit(2)
-	good := config.Delta{Base: 1, Target: 2, Digest: p.digest(m), Changed: m.Entries[:1], Parts: parts[:1]}
+	base, _ := edit(1, 3)
+	m, parts := edit(2, 3)
+	changed, _ := config.Diff(base, m)
+	part := parts[2] // account a0
+	good := config.Delta{Base: 1, Target: 2, Digest: m.Digest(), Changed: changed, Parts: []config.Part{part}}
 	for name, damage := range map[string]func(*config.Delta){
-		"part cut":      func(d *config.Delta) { d.Parts = []config.Part{parts[0][:5]} },
+		"part cut":      func(d *config.Delta) { d.Parts = []config.Part{part[:5]} },
 		"part absent":   func(d *config.Delta) { d.Parts = nil },
 		"entry absent":  func(d *config.Delta) { d.Changed = nil },
 		"other digest":  func(d *config.Delta) { d.Digest[0]++ },
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -143,7 +143,7 @@
 // superseded and is no error.
 func (p *Peer) Publish(ctx context.Context, v mesh.Version, m config.Manifest, parts []config.Part) error {
 	committed := time.Now()
-	digest := p.digest(m)
+	digest := m.Digest()
 	missing := p.missing(m, parts)
 	if len(missing) > 0 {
 		got, err := p.gather(ctx, missing)
@@ -173,7 +173,7 @@
 func (p *Peer) missing(m config.Manifest, parts []config.Part) []mesh.Digest {
 	given := make(map[mesh.Digest]bool, len(parts))
 	for _, part := range parts {
-		given[mesh.DigestOf(part)] = true
+		given[part.Digest()] = true
 	}
 	p.vmu.Lock()
 	defer p.vmu.Unlock()
@@ -185,10 +185,3 @@
 	}
 	return out
 }
-
-// digest returns the digest of m.
-func (p *Peer) digest(m config.Manifest) mesh.Digest {
-	p.vmu.Lock()
-	defer p.vmu.Unlock()
-	return p.state.DigestOf(m)
-}
