--- /dev/null
+++ b/cmd/lavenderrill/operator.go
@@ -0,0 +1,390 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/google/uuid"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/settings"
+	"lavenderrill.dev/lavenderrill/pkg/client"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// remote holds the flags of every command that calls a node.
+type remote struct {
+	node    string
+	output  string
+	timeout time.Duration
+	out     io.Writer
+}
+
+func (r *remote) flags(c *kingpin.CmdClause) *kingpin.CmdClause {
+	c.Flag("node", "Operator address of any node.").Envar("LAVENDERRILL_NODE").Default("127.0.0.1:8082").StringVar(&r.node)
+	c.Flag("output", "Output format: text or json.").Envar("LAVENDERRILL_OUTPUT").Default(outputText).EnumVar(&r.output, outputText, outputJSON)
+	c.Flag("timeout", "Time-out of the command.").Envar("LAVENDERRILL_COMMAND_TIMEOUT").Default("30s").DurationVar(&r.timeout)
+	r.out = os.Stdout
+	return c
+}
+
+func (r *remote) client() (*client.Client, error) {
+	token := os.Getenv(settings.TokenEnv)
+	if token == "" {
+		return nil, fault.Newf(fault.Settings, "%s: must be set to the operator token", settings.TokenEnv)
+	}
+	return client.New(client.Config{Node: r.node, Token: token, Timeout: r.timeout}), nil
+}
+
+// print writes v as JSON or, in text form, as text returns it.
+func (r *remote) print(v any, text func() string) error {
+	if r.output == outputJSON {
+		enc := json.NewEncoder(r.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	_, err := fmt.Fprint(r.out, text())
+	return err
+}
+
+// withClient makes an action of a function that needs a client.
+func (r *remote) withClient(f func(context.Context, *client.Client) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		c, err := r.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, r.timeout)
+		defer cancel()
+		return f(ctx, c)
+	}
+}
+
+func operatorCommands(app *kingpin.Application) []command {
+	cmds := []command{
+		validateCommand(app),
+		planCommand(app),
+		acceptCommand(app),
+		restoreCommand(app),
+		statusCommand(app),
+		historyCommand(app),
+		explainCommand(app),
+	}
+	cmds = append(cmds, documentCommands(app, "template", "Shows templates.", config.TemplateKey)...)
+	account := func(name string) config.DocumentKey { return config.AccountKey(mesh.ClientAccount(name)) }
+	return append(cmds, documentCommands(app, "account", "Shows client accounts.", account)...)
+}
+
+func validateCommand(app *kingpin.Application) command {
+	c := app.Command("validate", "Checks files as one complete configuration, without a node.")
+	files := c.Arg("file", "YAML files with documents.").Required().ExistingFiles()
+	return command{c, func(context.Context) error {
+		return validateFiles(*files, os.Stdout)
+	}}
+}
+
+func validateFiles(files []string, out io.Writer) error {
+	m, parts, err := readConfiguration(files)
+	if err != nil {
+		return fault.Newf(fault.InvalidConfig, "%w", err)
+	}
+	s, err := config.Compile(1, m, func(d mesh.Digest) (config.Part, bool) {
+		p, ok := parts[d]
+		return p, ok
+	})
+	if err != nil {
+		return fault.Newf(fault.InvalidConfig, "%w", err)
+	}
+	_, err = fmt.Fprintf(out, "valid: %d documents, %d client accounts, %d routes, %d services\n",
+		len(m.Entries), len(s.Accounts), len(s.Routes), len(s.Services))
+	return err
+}
+
+func readConfiguration(files []string) (config.Manifest, map[mesh.Digest]config.Part, error) {
+	var m config.Manifest
+	var errs []error
+	parts := map[mesh.Digest]config.Part{}
+	for _, name := range files {
+		ds, err := readDocuments(name)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		for _, d := range ds {
+			parts[d.Part.Digest()] = d.Part
+			m = m.With(config.Entry{Key: d.Key, Revision: 1, Part: d.Part.Digest()})
+		}
+	}
+	return m, parts, errors.Join(errs...)
+}
+
+func readDocuments(name string) ([]config.Document, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("read documents: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	return config.ParseDocuments(name, f)
+}
+
+// edit holds the arguments of the commands that take documents.
+type edit struct {
+	files  []string
+	remove []string
+}
+
+func (e *edit) args(c *kingpin.CmdClause) {
+	c.Arg("file", "YAML files with documents; - reads standard input.").StringsVar(&e.files)
+	c.Flag("remove", "Document to remove, such as account/NAME; may be repeated.").StringsVar(&e.remove)
+}
+
+// revisionLine is what `template show` and `account show` print before a
+// document, so that an edit made from it is compared with that revision.
+var revisionLine = regexp.MustCompile(`(?m)^# revision ([0-9]+) of ([a-z0-9/-]+)$`)
+
+func (e *edit) read(stdin io.Reader) (client.Edit, error) {
+	out := client.Edit{Bases: map[config.DocumentKey]mesh.Revision{}}
+	for _, name := range e.files {
+		b, err := readFile(name, stdin)
+		if err != nil {
+			return out, fault.Newf(fault.InvalidConfig, "read documents: %w", err)
+		}
+		out.Files = append(out.Files, client.File{Name: name, Content: string(b)})
+		for _, m := range revisionLine.FindAllStringSubmatch(string(b), -1) {
+			n, err := strconv.ParseUint(m[1], 10, 64)
+			if err != nil {
+				return out, fault.Newf(fault.InvalidConfig, "%s: revision line: %w", name, err)
+			}
+			out.Bases[config.DocumentKey(m[2])] = mesh.Revision(n)
+		}
+	}
+	for _, k := range e.remove {
+		out.Remove = append(out.Remove, config.DocumentKey(k))
+	}
+	if len(out.Files) == 0 && len(out.Remove) == 0 {
+		return out, fault.New(fault.Settings, "name at least one file or one --remove")
+	}
+	return out, nil
+}
+
+func readFile(name string, stdin io.Reader) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(stdin)
+	}
+	return os.ReadFile(name)
+}
+
+func planCommand(app *kingpin.Application) command {
+	var r remote
+	var e edit
+	c := r.flags(app.Command("plan", "Shows what an edit would change, and for which client accounts."))
+	e.args(c)
+	return command{c, r.withClient(func(ctx context.Context, cl *client.Client) error {
+		in, err := e.read(os.Stdin)
+		if err != nil {
+			return err
+		}
+		p, err := cl.Plan(ctx, in)
+		if err != nil {
+			return err
+		}
+		return r.print(p, func() string { return planText(p) })
+	})}
+}
+
+func planText(p client.Plan) string {
+	if p.Empty {
+		return fmt.Sprintf("No change against version %d.\n", p.Version)
+	}
+	return fmt.Sprintf("Against version %d, %d client accounts affected:\n%s", p.Version, len(p.Accounts), p.Text)
+}
+
+func acceptCommand(app *kingpin.Application) command {
+	var r remote
+	var e edit
+	var w waiter
+	c := r.flags(app.Command("accept", "Makes an edit the next version of the configuration."))
+	e.args(c)
+	w.flags(c)
+	return command{c, r.withClient(func(ctx context.Context, cl *client.Client) error {
+		in, err := e.read(os.Stdin)
+		if err != nil {
+			return err
+		}
+		id := w.changeID()
+		req := client.AcceptRequest{Change: id, Operator: operatorName(), Edit: in}
+		a, err := resolve(ctx, id, func(ctx context.Context) (client.Accepted, error) { return cl.Accept(ctx, req) })
+		if err != nil {
+			return err
+		}
+		return w.finish(ctx, &r, cl, a)
+	})}
+}
+
+func restoreCommand(app *kingpin.Application) command {
+	var r remote
+	var w waiter
+	c := r.flags(app.Command("restore", "Makes the content of an old version the next version."))
+	v := c.Arg("version", "Version to take the content from.").Required().Uint64()
+	w.flags(c)
+	return command{c, r.withClient(func(ctx context.Context, cl *client.Client) error {
+		id := w.changeID()
+		req := client.RestoreRequest{Change: id, Operator: operatorName(), Version: mesh.Version(*v)}
+		a, err := resolve(ctx, id, func(ctx context.Context) (client.Accepted, error) { return cl.Restore(ctx, req) })
+		if err != nil {
+			return err
+		}
+		return w.finish(ctx, &r, cl, a)
+	})}
+}
+
+// operatorName is recorded in the history. It is a note, not a credential.
+func operatorName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func newChangeID() mesh.ChangeID { return mesh.ChangeID(uuid.NewString()) }
+
+func statusCommand(app *kingpin.Application) command {
+	var r remote
+	c := r.flags(app.Command("status", "Shows which version each availability zone serves, and the backend servers."))
+	v := c.Flag("at", "Version that nodes are compared with; the node's own if 0.").Default("0").Uint64()
+	return command{c, r.withClient(func(ctx context.Context, cl *client.Client) error {
+		s, err := cl.Status(ctx, mesh.Version(*v))
+		if err != nil {
+			return err
+		}
+		return r.print(s, func() string { return statusText(s) })
+	})}
+}
+
+func statusText(s client.Status) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "node %s: ready %v, version %d, digest %s\n", s.Node, s.Ready, s.Version, s.Digest)
+	fmt.Fprintf(&b, "nodes at version %d or above:\n", s.Target)
+	for _, z := range s.Zones {
+		fmt.Fprintf(&b, "  %-20s %d of %d\n", z.Zone, z.Current, z.Members)
+	}
+	fmt.Fprintf(&b, "backend servers:\n")
+	for _, e := range s.Endpoints {
+		fmt.Fprintf(&b, "  %-20s %-20s %-10s %-8s %s\n", e.Service, e.Zone, e.State, e.Status, e.Node)
+	}
+	return b.String()
+}
+
+func historyCommand(app *kingpin.Application) command {
+	var r remote
+	c := r.flags(app.Command("history", "Lists accepted versions, newest first."))
+	limit := c.Flag("limit", "Most entries shown.").Default("20").Int()
+	return command{c, r.withClient(func(ctx context.Context, cl *client.Client) error {
+		h, err := cl.History(ctx, *limit)
+		if err != nil {
+			return err
+		}
+		return r.print(h, func() string { return historyText(h) })
+	})}
+}
+
+func historyText(h []client.HistoryEntry) string {
+	var b strings.Builder
+	for _, e := range h {
+		keys := make([]string, 0, len(e.Documents))
+		for _, k := range e.Documents {
+			keys = append(keys, string(k))
+		}
+		fmt.Fprintf(&b, "%6d  %s  %-12s %s  %s\n", e.Version, e.Time.UTC().Format(time.RFC3339), e.Operator, strings.Join(keys, " "), e.Change)
+	}
+	return b.String()
+}
+
+func explainCommand(app *kingpin.Application) command {
+	var r remote
+	var in client.ExplainRequest
+	c := r.flags(app.Command("explain", "Shows how a request would be routed, or why it would be refused."))
+	c.Arg("method", "HTTP method.").Required().StringVar(&in.Method)
+	c.Arg("host", "Host of the request.").Required().StringVar(&in.Host)
+	c.Arg("path", "Path of the request.").Required().StringVar(&in.Path)
+	return command{c, r.withClient(func(ctx context.Context, cl *client.Client) error {
+		x, err := cl.Explain(ctx, in)
+		if err != nil {
+			return err
+		}
+		return r.print(x, func() string { return explainText(x) })
+	})}
+}
+
+func explainText(x client.Explanation) string {
+	var b strings.Builder
+	if x.Route != "" {
+		fmt.Fprintf(&b, "version %d, route %s of client account %s: service %s, rank %s, deadline %s\n",
+			x.Version, x.Route, x.Account, x.Service, x.Rank, x.Deadline)
+	}
+	if x.Refusal != "" {
+		fmt.Fprintf(&b, "would be refused: %s: %s\n", x.Refusal, x.Reason)
+	}
+	for _, e := range x.Endpoints {
+		fmt.Fprintf(&b, "  %-20s %-10s %-8s %s\n", e.Zone, e.State, e.Status, e.Node)
+	}
+	return b.String()
+}
+
+func documentCommands(app *kingpin.Application, noun, about string, key func(string) config.DocumentKey) []command {
+	group := app.Command(noun, about)
+	var lr, sr remote
+	list := lr.flags(group.Command("list", "Lists names and revisions."))
+	show := sr.flags(group.Command("show", "Prints one document as YAML, ready to be edited and accepted."))
+	name := show.Arg("name", "Name of the document.").Required().String()
+	return []command{
+		{list, lr.withClient(func(ctx context.Context, cl *client.Client) error {
+			return listDocuments(ctx, cl, &lr, noun+"/")
+		})},
+		{show, sr.withClient(func(ctx context.Context, cl *client.Client) error {
+			d, err := cl.Document(ctx, key(*name))
+			if err != nil {
+				return err
+			}
+			return sr.print(d, func() string {
+				return fmt.Sprintf("# revision %d of %s\n%s", d.Revision, d.Key, d.Content)
+			})
+		})},
+	}
+}
+
+func listDocuments(ctx context.Context, cl *client.Client, r *remote, prefix string) error {
+	all, err := cl.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	ds := make([]client.Document, 0, len(all))
+	for _, d := range all {
+		if strings.HasPrefix(string(d.Key), prefix) {
+			ds = append(ds, d)
+		}
+	}
+	return r.print(ds, func() string {
+		var b strings.Builder
+		for _, d := range ds {
+			fmt.Fprintf(&b, "%-40s revision %d\n", strings.TrimPrefix(string(d.Key), prefix), d.Revision)
+		}
+		return b.String()
+	})
+}
--- /dev/null
+++ b/internal/node/doc.go
@@ -0,0 +1,3 @@
+// Package node builds one lavenderrill node from its settings and runs it: the
+// caller, peer, operator and backend listeners, and the parts behind them.
+package node
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,267 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/backend"
+	"lavenderrill.dev/lavenderrill/internal/caller"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/internal/operator"
+	"lavenderrill.dev/lavenderrill/internal/peer"
+	"lavenderrill.dev/lavenderrill/internal/platform"
+	"lavenderrill.dev/lavenderrill/internal/settings"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	// leaveTimeout bounds the farewell to the other nodes and to the table.
+	leaveTimeout = 2 * time.Second
+)
+
+// Node is one node of the mesh.
+type Node struct {
+	set      settings.Node
+	id       mesh.NodeID
+	log      *zap.Logger
+	metrics  *metric.Registry
+	sockets  *listeners
+	platform *platform.Client
+	peer     *peer.Peer
+	gate     *backend.Gate
+	caller   *caller.Caller
+	operator *operator.Server
+	stopping atomic.Bool
+}
+
+// New checks s, opens the listeners and builds the parts of a node. The caller
+// must call Run, which closes the listeners.
+func New(s settings.Node, log *zap.Logger) (*Node, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	if s.ID == "" {
+		s.ID = uuid.NewString()
+	}
+	sockets, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		set:     s,
+		id:      mesh.NodeID(s.ID),
+		log:     log.With(zap.String("node", s.ID)),
+		metrics: metric.New(),
+		sockets: sockets,
+	}
+	if err := n.build(); err != nil {
+		sockets.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// Addrs returns the addresses on which the node listens.
+func (n *Node) Addrs() Addrs { return n.sockets.addrs(string(n.id)) }
+
+// Ready reports whether the node serves callers with the newest known version.
+func (n *Node) Ready() bool { return n.peer.Ready() && !n.stopping.Load() }
+
+func (n *Node) build() error {
+	n.platform = platform.New(platform.Config{
+		Table:     n.set.Table,
+		Bucket:    n.set.Bucket,
+		Region:    n.set.Region,
+		TableURL:  n.set.TableURL,
+		ObjectURL: n.set.Objects,
+		AccessKey: n.set.AccessKey,
+		SecretKey: n.set.SecretKey,
+		Timeout:   n.set.Timeout,
+		Metrics:   n.metrics,
+	})
+	n.gate = n.newGate()
+	var err error
+	if n.peer, err = n.newPeer(); err != nil {
+		return fmt.Errorf("build peer: %w", err)
+	}
+	n.caller = caller.New(caller.Config{
+		ID:       n.id,
+		Zone:     mesh.AvailabilityZone(n.set.Zone),
+		Snapshot: n.peer.Snapshot,
+		HopToken: peer.HopToken([]byte(n.set.Key)),
+		Ready:    n.Ready,
+		Metrics:  n.metrics,
+		Log:      n.log,
+	})
+	n.operator = n.newOperator()
+	return nil
+}
+
+func (n *Node) newGate() *backend.Gate {
+	return backend.New(backend.Config{
+		ID: n.id,
+		// The gate is built before the peer, so the peer is looked up late.
+		Snapshot:   func() *config.Snapshot { return n.peer.Snapshot() },
+		OnEndpoint: func(s mesh.Service, slots int, e member.EndpointState) { n.peer.SetEndpoint(s, slots, e) },
+		Claim: func(ctx context.Context, key, owner string, ttl time.Duration) (backend.ClaimResult, error) {
+			r, err := n.platform.Claim(ctx, key, owner, ttl)
+			return backend.ClaimResult{Won: r.Granted, Owner: r.Owner}, err
+		},
+		ReleaseClaim: n.platform.ReleaseClaim,
+		Metrics:      n.metrics,
+		Log:          n.log,
+	})
+}
+
+func (n *Node) newPeer() (*peer.Peer, error) {
+	join := make([]mesh.Addr, 0, len(n.set.Join))
+	for _, a := range n.set.Join {
+		join = append(join, mesh.Addr(a))
+	}
+	return peer.New(peer.Config{
+		Self:      member.Member{ID: n.id, Zone: mesh.AvailabilityZone(n.set.Zone), Addr: n.advertised()},
+		Key:       []byte(n.set.Key),
+		Join:      join,
+		Listener:  n.sockets.peer,
+		Packet:    n.sockets.packet,
+		Gate:      n.gate.Hop(),
+		Platform:  n.source(),
+		OnMembers: func(ms []member.Member) { n.caller.SetMembers(ms) },
+		Metrics:   n.metrics,
+		Log:       n.log,
+	})
+}
+
+func (n *Node) advertised() mesh.Addr {
+	if n.set.Advertise != "" {
+		return mesh.Addr(n.set.Advertise)
+	}
+	return mesh.Addr(n.sockets.peer.Addr().String())
+}
+
+// part is one long-running part of a node.
+type part struct {
+	name string
+	run  func(context.Context) error
+}
+
+// end is how a part ended.
+type end struct {
+	name string
+	err  error
+}
+
+// Run serves until ctx is done, then stops gracefully: requests in flight are
+// finished within the drain time. It returns the first error of a part.
+func (n *Node) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	parts := n.parts()
+	ends := make(chan end)
+	for _, p := range parts {
+		go func() { ends <- end{p.name, p.run(inner)} }()
+	}
+	n.log.Info("node started", zap.Any("listen", n.Addrs()), zap.String("zone", n.set.Zone))
+	running := len(parts)
+	var errs []error
+	select {
+	case <-ctx.Done():
+		errs = append(errs, n.stop())
+	case e := <-ends:
+		running--
+		errs = append(errs, fmt.Errorf("%s ended: %w", e.name, orUnexpected(e.err)))
+	}
+	cancel()
+	for range running {
+		if e := <-ends; e.err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", e.name, e.err))
+		}
+	}
+	n.log.Info("node stopped", zap.Error(errors.Join(errs...)))
+	return errors.Join(errs...)
+}
+
+var errUnexpected = errors.New("ended without an error")
+
+func orUnexpected(err error) error {
+	if err == nil {
+		return errUnexpected
+	}
+	return err
+}
+
+func (n *Node) parts() []part {
+	backendServer := newServer(n.gate.Announcements())
+	operatorServer := newServer(n.operator.Handler())
+	return []part{
+		{"peer", n.peer.Run},
+		{"gate", n.gate.Run},
+		{"caller", n.caller.Run},
+		{"caller listener", func(context.Context) error { return served(n.caller.Server().Serve(n.sockets.caller)) }},
+		{"backend listener", func(ctx context.Context) error { return serve(ctx, backendServer, n.sockets.backend) }},
+		{"operator listener", func(ctx context.Context) error { return serve(ctx, operatorServer, n.sockets.operator) }},
+		{"registration", n.register},
+	}
+}
+
+// stop drains the caller listener and the gate, then leaves the mesh. The gate
+// goes on refusing requests of nodes that have not yet heard of the stop.
+func (n *Node) stop() error {
+	n.stopping.Store(true)
+	n.log.Info("node stops", zap.Duration("drain", n.set.Drain))
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.Drain)
+	defer cancel()
+	drained := make(chan error)
+	go func() { drained <- n.gate.Drain(ctx) }()
+	errs := []error{n.caller.Drain(ctx), <-drained}
+	return errors.Join(append(errs, n.leave())...)
+}
+
+func (n *Node) leave() error {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	err := n.peer.Leave(ctx)
+	if derr := n.platform.DeleteNode(ctx, n.id); derr != nil {
+		n.log.Info("row of this node stays in the table", zap.Error(derr))
+	}
+	return err
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// serve serves l until ctx is done and lets calls in flight finish.
+func serve(ctx context.Context, s *http.Server, l net.Listener) error {
+	done := make(chan error)
+	go func() { done <- served(s.Serve(l)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	err := s.Shutdown(shutdown)
+	return errors.Join(err, <-done)
+}
+
+// served returns nil for the error of a server that was told to stop.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/node/platform.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/peer"
+	"lavenderrill.dev/lavenderrill/internal/platform"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	// joinRows bounds the rows read at a start, so that a restarted fleet does
+	// not read the whole table once per node.
+	joinRows = 32
+	// Registration is spread over registerSpread, and retried between
+	// registerPause and registerLimit, so that a mass restart stays within the
+	// write rate of the platform.
+	registerSpread = 2 * time.Second
+	registerPause  = time.Second
+	registerLimit  = time.Minute
+)
+
+// source returns the part of the platform that the peer reads.
+func (n *Node) source() peer.Source {
+	return peer.Source{
+		Head:     n.head,
+		Manifest: n.platform.Manifest,
+		Part:     n.platform.Part,
+		Nodes:    n.nodes,
+	}
+}
+
+// head reads the newest version. A table that does not exist yet holds none.
+func (n *Node) head(ctx context.Context) (mesh.Version, mesh.Digest, error) {
+	h, err := n.platform.PollHead(ctx)
+	if noTable(err) {
+		return 0, mesh.Digest{}, nil
+	}
+	return h.Version, h.Digest, err
+}
+
+func (n *Node) nodes(ctx context.Context) ([]mesh.Addr, error) {
+	rows, err := n.platform.Nodes(ctx, joinRows)
+	if noTable(err) {
+		return nil, nil
+	}
+	var addrs []mesh.Addr
+	for _, r := range rows {
+		if r.ID != n.id {
+			addrs = append(addrs, r.Addr)
+		}
+	}
+	return addrs, err
+}
+
+func noTable(err error) bool {
+	var missing *types.ResourceNotFoundException
+	return errors.As(err, &missing)
+}
+
+// register writes the row of this node, and creates the table and the bucket
+// if they do not exist. It then waits for the end of ctx.
+func (n *Node) register(ctx context.Context) error {
+	pause := registerPause
+	wait := time.Duration(rand.Int64N(int64(registerSpread)))
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait):
+		}
+		err := n.writeRow(ctx)
+		if err == nil {
+			<-ctx.Done()
+			return nil
+		}
+		n.log.Warn("cannot write the row of this node", zap.Error(err), zap.Duration("retry", pause))
+		wait = pause/2 + time.Duration(rand.Int64N(int64(pause)))
+		pause = min(2*pause, registerLimit)
+	}
+}
+
+func (n *Node) writeRow(ctx context.Context) error {
+	row := platform.NodeRow{ID: n.id, Addr: n.advertised(), Zone: mesh.AvailabilityZone(n.set.Zone)}
+	err := n.platform.WriteNode(ctx, row)
+	if !noTable(err) {
+		return err
+	}
+	if err := n.platform.EnsureSchema(ctx); err != nil {
+		return err
+	}
+	return n.platform.WriteNode(ctx, row)
+}
--- /dev/null
+++ b/internal/operator/doc.go
@@ -0,0 +1,6 @@
+// Package operator serves the operator API of a node: validation, planning and
+// acceptance of edits, history, status and explanations.
+//
+// The API is HTTP with JSON bodies and a bearer token. Types of requests and
+// responses are those of package client.
+package operator
--- /dev/null
+++ b/internal/operator/edit.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/client"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// Content is one complete configuration with its documents.
+type Content struct {
+	Version  mesh.Version
+	Manifest config.Manifest
+	Part     func(mesh.Digest) (config.Part, bool)
+}
+
+// change is one document of an edit.
+type change struct {
+	key  config.DocumentKey
+	base mesh.Revision
+	part config.Part // nil removes the document
+}
+
+// parseEdit turns an edit into changes, sorted by key. The base revision of a
+// document that the edit does not give is the one in m.
+func parseEdit(e client.Edit, m config.Manifest) ([]change, error) {
+	var cs []change
+	var errs []error
+	for _, f := range e.Files {
+		ds, err := config.ParseDocuments(f.Name, strings.NewReader(f.Content))
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		for _, d := range ds {
+			cs = append(cs, change{key: d.Key, part: d.Part})
+		}
+	}
+	for _, k := range e.Remove {
+		if _, ok := m.Entry(k); !ok {
+			errs = append(errs, fmt.Errorf("remove %s: there is no such document", k))
+		}
+		cs = append(cs, change{key: k})
+	}
+	slices.SortFunc(cs, func(a, b change) int { return strings.Compare(string(a.key), string(b.key)) })
+	for i := range cs {
+		if i > 0 && cs[i-1].key == cs[i].key {
+			errs = append(errs, fmt.Errorf("%s: the edit names the document twice", cs[i].key))
+		}
+		cs[i].base = baseOf(e, m, cs[i].key)
+	}
+	if len(cs) == 0 && len(errs) == 0 {
+		errs = append(errs, errors.New("the edit names no document"))
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, fault.Newf(fault.InvalidConfig, "%w", err)
+	}
+	return cs, nil
+}
+
+func baseOf(e client.Edit, m config.Manifest, k config.DocumentKey) mesh.Revision {
+	if r, ok := e.Bases[k]; ok {
+		return r
+	}
+	entry, _ := m.Entry(k)
+	return entry.Revision
+}
+
+// apply returns the content that c becomes by the changes, at the next version.
+func apply(c Content, cs []change) Content {
+	m := c.Manifest
+	added := map[mesh.Digest]config.Part{}
+	for _, ch := range cs {
+		if ch.part == nil {
+			m = m.Without(ch.key)
+			continue
+		}
+		d := ch.part.Digest()
+		added[d] = ch.part
+		m = m.With(config.Entry{Key: ch.key, Revision: ch.base + 1, Part: d})
+	}
+	return Content{Version: c.Version + 1, Manifest: m, Part: func(d mesh.Digest) (config.Part, bool) {
+		if p, ok := added[d]; ok {
+			return p, true
+		}
+		return c.Part(d)
+	}}
+}
+
+func (c Content) compile() (*config.Snapshot, error) {
+	return config.Compile(c.Version, c.Manifest, c.Part)
+}
+
+// named replaces document keys by the names of the files that hold the
+// documents, so that an operator finds the fault.
+func named(err error, e client.Edit) error {
+	var invalid *config.InvalidError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	files := map[string]string{}
+	for _, f := range e.Files {
+		ds, perr := config.ParseDocuments(f.Name, strings.NewReader(f.Content))
+		if perr != nil {
+			continue
+		}
+		for _, d := range ds {
+			files[string(d.Key)] = f.Name
+		}
+	}
+	out := &config.InvalidError{Faults: slices.Clone(invalid.Faults), Omitted: invalid.Omitted}
+	for i := range out.Faults {
+		if name, ok := files[out.Faults[i].File]; ok {
+			out.Faults[i].File = name
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/internal/platform"
+	"lavenderrill.dev/lavenderrill/pkg/client"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// maxHistory bounds the entries of one history response.
+const maxHistory = 1000
+
+// Config configures a Server. All fields must be set.
+type Config struct {
+	ID       mesh.NodeID
+	Token    string
+	Platform *platform.Client
+
+	Content func() Content                                                            // what the node serves
+	Publish func(context.Context, mesh.Version, config.Manifest, []config.Part) error // spreads a committed version
+	Survey  func(context.Context, mesh.Version) ([]client.ZoneStatus, error)
+	Members func() []member.Member
+	Explain func(client.ExplainRequest) client.Explanation
+	Ready   func() bool
+
+	Metrics *metric.Registry
+	Log     *zap.Logger
+}
+
+// Server serves the operator API.
+type Server struct {
+	cfg     Config
+	calls   *expvar.Int
+	refused *expvar.Map
+}
+
+// New returns a Server for c.
+func New(c Config) *Server {
+	return &Server{
+		cfg:     c,
+		calls:   c.Metrics.Counter("operator_calls"),
+		refused: c.Metrics.ByReason("operator_refused"),
+	}
+}
+
+// Handler serves the API, the health pages and the counters.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/validate", serve(s, decodeBody[client.Edit], s.validate))
+	mux.Handle("POST /v1/plan", serve(s, decodeBody[client.Edit], s.plan))
+	mux.Handle("POST /v1/accept", serve(s, decodeBody[client.AcceptRequest], s.accept))
+	mux.Handle("POST /v1/restore", serve(s, decodeBody[client.RestoreRequest], s.restore))
+	mux.Handle("POST /v1/explain", serve(s, decodeBody[client.ExplainRequest], s.explain))
+	mux.Handle("GET /v1/status", serve(s, decodeNumber("version"), s.status))
+	mux.Handle("GET /v1/history", serve(s, decodeNumber("limit"), s.history))
+	mux.Handle("GET /v1/documents", serve(s, decodeKey, s.documents))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.Handle("GET /debug/vars", s.cfg.Metrics.Handler())
+	mux.HandleFunc("/", unknownCall)
+	return mux
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.cfg.Ready() {
+		fault.Write(w, fault.New(fault.NotReady, "node does not hold the newest known version or is stopping"), "")
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func decodeNumber(name string) func(*http.Request) (uint64, error) {
+	return func(r *http.Request) (uint64, error) {
+		t := r.URL.Query().Get(name)
+		if t == "" {
+			return 0, nil
+		}
+		n, err := strconv.ParseUint(t, 10, 64)
+		if err != nil {
+			return 0, fault.Newf(fault.BadRequest, "query parameter %s: %w", name, err)
+		}
+		return n, nil
+	}
+}
+
+func decodeKey(r *http.Request) (config.DocumentKey, error) {
+	q, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return "", fault.Newf(fault.BadRequest, "query: %w", err)
+	}
+	return config.DocumentKey(q.Get("key")), nil
+}
+
+func (s *Server) explain(_ context.Context, r client.ExplainRequest) (client.Explanation, error) {
+	return s.cfg.Explain(r), nil
+}
