Add the demo command

The demo runs three nodes, three backend servers and the platform stand-in in one process, accepts a new client account while requests of four ranks are served, and fails if a request is refused or broken.

--- a/cmd/lavenderrill/demo.go
+++ b/cmd/lavenderrill/demo.go
@@ -2,11 +2,28 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"lavenderrill.dev/lavenderrill/internal/demo"
 )
 
+// demoLimit ends a demo that does not come to its end by itself.
+const demoLimit = time.Minute
+
 func demoCommand(app *kingpin.Application) command {
 	c := app.Command("demo", "Runs a small mesh in this process, accepts an edit while requests are served, and reports.")
-	return command{c, func(context.Context) error { return nil }}
+	level := c.Flag("log-level", "Least level that is logged: debug, info, warn or error.").Default("error").Enum("debug", "info", "warn", "error")
+	return command{c, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, demoLimit)
+		defer cancel()
+		log, err := newLogger("console", *level)
+		if err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+		return demo.Run(ctx, demo.Config{Out: os.Stdout, Log: log})
+	}}
 }
