Test the platform client against the stand-ins

Outcomes of accepts were only argued for, so they are now run against lost responses, transactions that take effect after the client gave up, outages in the middle of an accept, and racing operators on one and on several documents. The first run showed that a caller who left during the resolution of a lost response got outcome_unknown although one more read would have told; the resolution therefore no longer ends with the caller's context.

--- /dev/null
+++ b/internal/platform/standin_test.go
@@ -0,0 +1,386 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/standin/inject"
+	"lavenderrill.dev/lavenderrill/internal/standin/object"
+	"lavenderrill.dev/lavenderrill/internal/standin/table"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// site is a platform stand-in with an empty table and bucket.
+type site struct {
+	t       *testing.T
+	table   *table.Server
+	objects *object.Server
+	config  Config
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, table: table.New(table.Config{Seed: 1}), objects: object.New(object.Config{Seed: 1})}
+	ts, os := httptest.NewServer(s.table), httptest.NewServer(s.objects)
+	t.Cleanup(ts.Close)
+	t.Cleanup(os.Close)
+	s.config = Config{
+		Table: "mesh", Bucket: "mesh", TableURL: ts.URL, ObjectURL: os.URL, AccessKey: "a", SecretKey: "s",
+		Timeout: time.Second, Reads: 1e6, Writes: 1e6, Burst: 1e6, ObjectReads: 1e6, ObjectWrites: 1e6, ObjectBurst: 1e6,
+	}
+	require.NoError(t, s.client().EnsureSchema(t.Context()))
+	return s
+}
+
+func (s *site) client() *Client { return New(s.config) }
+
+// faults sets the faults of the table.
+func (s *site) faults(f inject.Faults) { require.NoError(s.t, s.table.SetFaults(f)) }
+
+// account returns an edit of the account of the given name, whose content
+// depends on rate.
+func account(name string, base mesh.Revision, rate int) Edit {
+	docs, err := config.ParseDocuments("test", strings.NewReader(fmt.Sprintf("account: %s\ntemplate: t\nparameters: {rate: %d}", name, rate)))
+	if err != nil {
+		panic(err)
+	}
+	return Edit{Key: docs[0].Key, Base: base, Part: docs[0].Part}
+}
+
+func change(id string, es ...Edit) Change {
+	return Change{ID: mesh.ChangeID(id), Operator: "operator", Edits: es}
+}
+
+func (s *site) commit(id string, es ...Edit) Head {
+	s.t.Helper()
+	h, err := s.client().Commit(s.t.Context(), change(id, es...), nil)
+	require.NoError(s.t, err)
+	return h
+}
+
+// TestCommit guards against an accept that loses an edit, a revision or the
+// history of a document.
+func TestCommit(t *testing.T) {
+	s := newSite(t)
+	c := s.client()
+	h := s.commit("c1", account("a", 0, 1), account("b", 0, 1))
+	require.EqualValues(t, 1, h.Version)
+	h = s.commit("c2", account("a", 1, 2))
+	require.Equal(t, h, s.commit("c2", account("a", 1, 2)), "a repeated change makes no version")
+	_, err := c.Commit(t.Context(), change("c2", account("a", 1, 3)), nil)
+	refused(t, err, fault.BadRequest, fault.NotRun)
+
+	got, m, err := c.Documents(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, h, got)
+	e, _ := m.Entry("account/a")
+	require.EqualValues(t, 2, e.Revision)
+	parts, err := c.Parts(t.Context(), m, nil)
+	require.NoError(t, err)
+	require.Equal(t, account("a", 0, 2).Part, parts[e.Part])
+
+	_, err = c.Commit(t.Context(), change("c3", account("a", 1, 9)), nil)
+	refused(t, err, fault.Conflict, fault.NotRun)
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, []Conflict{{"account/a", 1, account("a", 0, 1).Part.Digest(), 2, account("a", 0, 2).Part.Digest()}}, conflict.Conflicts)
+
+	wrong := errors.New("wrong")
+	_, err = c.Commit(t.Context(), change("c4", account("a", 2, 9)), func(v mesh.Version, m config.Manifest) error {
+		require.EqualValues(t, 3, v)
+		return wrong
+	})
+	require.ErrorIs(t, err, wrong)
+
+	s.commit("c5", Edit{Key: "account/a", Base: 2})
+	s.commit("c6", account("a", 0, 5))
+	_, m, err = c.Documents(t.Context())
+	require.NoError(t, err)
+	e, _ = m.Entry("account/a")
+	require.EqualValues(t, 4, e.Revision, "revisions go on after a removal")
+
+	rs, err := c.History(t.Context(), 2, 4)
+	require.NoError(t, err)
+	require.Len(t, rs, 2)
+	require.Equal(t, []mesh.ChangeID{"c5", "c2"}, []mesh.ChangeID{rs[0].Change, rs[1].Change})
+	require.True(t, rs[0].Documents[0].Part.IsZero())
+	r, err := c.Change(t.Context(), "c2")
+	require.NoError(t, err)
+	require.Equal(t, rs[1], r)
+	_, err = c.Change(t.Context(), "c9")
+	refused(t, err, fault.NotFound, fault.NotRun)
+}
+
+// TestRacingOperators guards against two operators who both replace the same
+// revision of a document.
+func TestRacingOperators(t *testing.T) {
+	s := newSite(t)
+	s.commit("first", account("a", 0, 0))
+	const operators = 8
+	var mu sync.Mutex
+	won := 0
+	var g errgroup.Group
+	for i := range operators {
+		c := s.client()
+		g.Go(func() error {
+			_, err := c.Commit(t.Context(), change(fmt.Sprint("c", i), account("a", 1, i+1)), nil)
+			if err == nil {
+				mu.Lock()
+				won++
+				mu.Unlock()
+				return nil
+			}
+			var conflict *ConflictError
+			if !errors.As(err, &conflict) || conflict.Conflicts[0].Current != 2 {
+				return err
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	require.Equal(t, 1, won)
+}
+
+// TestRebase guards against an edit that starves or overwrites while operators
+// on many nodes edit other documents.
+func TestRebase(t *testing.T) {
+	s := newSite(t)
+	const nodes, edits = 10, 8
+	var g errgroup.Group
+	var mu sync.Mutex
+	var longest time.Duration
+	for n := range nodes {
+		c := s.client()
+		g.Go(func() error {
+			for i := range edits {
+				start := time.Now()
+				_, err := c.Commit(t.Context(), change(fmt.Sprint(n, "-", i), account(fmt.Sprint("a", n), mesh.Revision(i), i)), nil)
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				longest = max(longest, time.Since(start))
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	h, m, err := s.client().Documents(t.Context())
+	require.NoError(t, err)
+	require.EqualValues(t, nodes*edits, h.Version)
+	require.Len(t, m.Entries, nodes)
+	for _, e := range m.Entries {
+		require.EqualValues(t, edits, e.Revision)
+	}
+	t.Logf("longest commit of %d on %d nodes: %v", nodes*edits, nodes, longest)
+}
+
+// TestLostResponse guards against an accept that is reported as failed, or
+// applied twice, because the response to its transaction was lost or the
+// transaction took effect only after the client had given up.
+func TestLostResponse(t *testing.T) {
+	for name, f := range map[string]inject.Faults{
+		"lost":           {Lose: 1, Next: 1},
+		"after time-out": {Latency: inject.Duration(1200 * time.Millisecond), Next: 1},
+		"never sent on":  {Outage: inject.Reset, Next: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.commit("c1", account("a", 0, 1))
+			f.Operations = []string{"TransactWriteItems"}
+			s.faults(f)
+			h := s.commit("c2", account("a", 1, 2))
+			require.EqualValues(t, 2, h.Version)
+			time.Sleep(time.Duration(f.Latency))
+			rs, err := s.client().History(t.Context(), 10, 0)
+			require.NoError(t, err)
+			require.Len(t, rs, 2)
+		})
+	}
+}
+
+// TestOutageInAccept guards against an accept that claims not to have run
+// although it may, or to be unknown although nothing was sent.
+func TestOutageInAccept(t *testing.T) {
+	s := newSite(t)
+	s.config.Timeout = 100 * time.Millisecond
+	c := s.client()
+	s.commit("c1", account("a", 0, 1))
+
+	require.NoError(t, s.objects.SetFaults(inject.Faults{Outage: inject.Error}))
+	_, err := c.Commit(t.Context(), change("c2", account("a", 1, 2)), nil)
+	refused(t, err, fault.PlatformUnavailable, fault.NotRun)
+	require.NoError(t, s.objects.SetFaults(inject.Faults{}))
+
+	s.faults(inject.Faults{Outage: inject.Reset, Operations: []string{"TransactWriteItems"}})
+	_, err = c.Commit(t.Context(), change("c2", account("a", 1, 2)), nil)
+	refused(t, err, fault.OutcomeUnknown, fault.Unknown)
+
+	s.faults(inject.Faults{Lose: 1, Operations: []string{"TransactWriteItems"}})
+	ctx, cancel := context.WithCancel(t.Context())
+	_, err = c.Commit(ctx, change("c2", account("a", 1, 2)), func(mesh.Version, config.Manifest) error {
+		time.AfterFunc(20*time.Millisecond, cancel)
+		return nil
+	})
+	require.NoError(t, err, "the outcome is found out even if the caller leaves")
+
+	s.faults(inject.Faults{Outage: inject.Hang})
+	_, err = c.Commit(t.Context(), change("c3", account("a", 2, 3)), nil)
+	refused(t, err, fault.PlatformUnavailable, fault.NotRun)
+	s.faults(inject.Faults{})
+	h, err := c.Head(t.Context())
+	require.NoError(t, err)
+	require.EqualValues(t, 2, h.Version)
+}
+
+// TestFaultyPlatform guards against versions that are lost, repeated or falsely
+// reported while responses are lost, throttled and in conflict.
+func TestFaultyPlatform(t *testing.T) {
+	s := newSite(t)
+	s.faults(inject.Faults{Lose: 0.1, Throttle: 0.1, Conflict: 0.2})
+	var mu sync.Mutex
+	accepted, unknown := make(map[mesh.ChangeID]mesh.Version), make(map[mesh.ChangeID]bool)
+	var g errgroup.Group
+	for n := range 5 {
+		c := s.client()
+		g.Go(func() error {
+			revision := mesh.Revision(0)
+			for i := range 10 {
+				ch := change(fmt.Sprint(n, "-", i), account(fmt.Sprint("a", n), revision, i))
+				h, err := c.Commit(t.Context(), ch, nil)
+				for fault.Is(err, fault.OutcomeUnknown) {
+					h, err = c.Commit(t.Context(), ch, nil)
+				}
+				mu.Lock()
+				switch {
+				case err == nil:
+					accepted[ch.ID] = h.Version
+					revision++
+				case fault.From(err).Run == fault.Unknown:
+					unknown[ch.ID] = true
+				}
+				mu.Unlock()
+				if err != nil && !fault.Is(err, fault.PlatformUnavailable) {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	s.faults(inject.Faults{})
+	rs, err := s.client().History(t.Context(), 1000, 0)
+	require.NoError(t, err)
+	require.Len(t, rs, len(accepted), "refused changes: %v", unknown)
+	for i, r := range rs {
+		require.EqualValues(t, len(rs)-i, r.Version)
+		require.Equal(t, accepted[r.Change], r.Version)
+	}
+}
+
+// TestRestore guards against a restore that goes back to an old version number
+// or revision, also when it changes more documents than a transaction holds.
+func TestRestore(t *testing.T) {
+	s := newSite(t)
+	c := s.client()
+	const documents = MaxEdits + 20
+	write := func(id string, base mesh.Revision, rate int) {
+		for from := 0; from < documents; from += MaxEdits {
+			var es []Edit
+			for i := from; i < min(from+MaxEdits, documents); i++ {
+				es = append(es, account(fmt.Sprint("a", i), base, rate))
+			}
+			s.commit(fmt.Sprint(id, from), es...)
+		}
+	}
+	write("create", 0, 1)
+	old, err := c.Head(t.Context())
+	require.NoError(t, err)
+	write("edit", 1, 2)
+	s.commit("extra", account("extra", 0, 1))
+
+	h, err := c.Restore(t.Context(), "back", "operator", old.Version, nil)
+	require.NoError(t, err)
+	require.EqualValues(t, 6, h.Version)
+	again, err := c.Restore(t.Context(), "back", "operator", old.Version, nil)
+	require.NoError(t, err)
+	require.Equal(t, h, again)
+	_, m, err := c.Documents(t.Context())
+	require.NoError(t, err)
+	require.Len(t, m.Entries, documents)
+	for _, e := range m.Entries {
+		require.EqualValues(t, 3, e.Revision)
+	}
+	_, err = c.Restore(t.Context(), "back2", "operator", old.Version, nil)
+	refused(t, err, fault.BadRequest, fault.NotRun)
+	for i := range documents {
+		if i%10 == 0 {
+			s.commit(fmt.Sprint("after", i), account(fmt.Sprint("a", i), 3, 4))
+		}
+	}
+	_, err = c.Restore(t.Context(), "back3", "operator", 99, nil)
+	refused(t, err, fault.NotFound, fault.NotRun)
+}
+
+// TestClaims guards against two owners of one claim, and against an owner that
+// is refused its own claim.
+func TestClaims(t *testing.T) {
+	s := newSite(t)
+	now := time.UnixMilli(1_000_000)
+	s.config.Now = func() time.Time { return now }
+	c := s.client()
+	s.faults(inject.Faults{Lose: 1, Next: 1, Operations: []string{"PutItem"}})
+	r, err := c.Claim(t.Context(), "k", "one", time.Minute)
+	require.NoError(t, err)
+	require.True(t, r.Granted)
+	r, err = c.Claim(t.Context(), "k", "two", time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, ClaimResult{Owner: "one", Expiry: now.Add(time.Minute)}, r)
+	refused(t, c.ReleaseClaim(t.Context(), "k", "two"), fault.Conflict, fault.NotRun)
+	require.NoError(t, c.ReleaseClaim(t.Context(), "k", "one"))
+	require.NoError(t, c.ReleaseClaim(t.Context(), "k", "one"))
+	r, err = c.Claim(t.Context(), "k", "two", time.Minute)
+	require.NoError(t, err)
+	require.True(t, r.Granted)
+	now = now.Add(2 * time.Minute)
+	r, err = c.Claim(t.Context(), "k", "three", time.Minute)
+	require.NoError(t, err)
+	require.True(t, r.Granted, "an expired claim is free")
+}
+
+// TestNodesAndSchema guards against rows of nodes that cannot be found, and
+// against a schema that cannot be created twice at once.
+func TestNodesAndSchema(t *testing.T) {
+	s := newSite(t)
+	c := s.client()
+	var g errgroup.Group
+	for range 4 {
+		g.Go(func() error { return s.client().EnsureSchema(t.Context()) })
+	}
+	require.NoError(t, g.Wait())
+	for i := range 5 {
+		require.NoError(t, c.WriteNode(t.Context(), NodeRow{ID: mesh.NodeID(fmt.Sprint("n", i)), Addr: "127.0.0.1:1", Zone: "solo"}))
+	}
+	require.NoError(t, c.DeleteNode(t.Context(), "n0"))
+	require.NoError(t, c.DeleteNode(t.Context(), "n0"))
+	rows, err := c.Nodes(t.Context(), 3)
+	require.NoError(t, err)
+	require.Len(t, rows, 3)
+	rows, err = c.Nodes(t.Context(), 100)
+	require.NoError(t, err)
+	require.Len(t, rows, 4)
+	require.Equal(t, mesh.AvailabilityZone("solo"), rows[0].Zone)
+	require.WithinDuration(t, time.Now(), rows[0].Written, time.Minute)
+}
--- a/internal/platform/transact.go
+++ b/internal/platform/transact.go
@@ -20,8 +20,9 @@
 	firstDocRow
 )
 
-// resolveTimeouts is the time for finding out what became of a transaction
-// after the caller's context has ended, in request time-outs.
+// resolveTimeouts is the time for finding out what became of a transaction, in
+// request time-outs. It is independent of the caller's context, since a caller
+// who leaves needs the outcome no less.
 const resolveTimeouts = 2
 
 // transact submits the proposal. It returns false without an error if the
@@ -43,10 +44,7 @@
 	case !fault.Is(err, fault.OutcomeUnknown):
 		return p.rejected(ctx, err)
 	}
-	if ctx.Err() != nil {
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, resolveTimeouts*p.client.timeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeouts*p.client.timeout)
 	defer cancel()
 	return p.resolve(ctx, in, head, err)
 }
