--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -29,6 +29,12 @@
 	// pause before it declares a member dead. Probing every one of 2,500
 	// members once would take 40 minutes.
 	pauseRound = 10
+	// pauseSilence is the number of probes without any acknowledgement after
+	// which a node that was paused takes the silence for real.
+	pauseSilence = 30
+	// recheckLimit is the number of suspects that are probed at once when a
+	// node that was paused begins to declare members dead again.
+	recheckLimit = 32
 	// gossipDelay is the wait before a new update is sent on, so that updates
 	// that arrive together share datagrams.
 	gossipDelay = 20 * time.Millisecond
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -45,7 +45,7 @@
 	nextProbe  time.Time
 	nextGossip time.Time // zero when no new update waits
 	nextDead   time.Time
-	cautious   int // probes to complete before a member is declared dead
+	caution    caution
 
 	counts  Counts
 	changes uint64
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -72,15 +73,33 @@
 	l.counts.Pauses++
 	l.probe = nil
 	clear(l.relay)
-	l.cautious = min(l.live, pauseRound)
-	for id := range l.down {
-		if r := l.others[id]; r.Status == Suspect {
-			r.since = now
-		}
-	}
+	l.caution.start(l.live)
+	l.restartSuspicion(now)
 	l.nextProbe = now
 }
 
+// restartSuspicion gives all suspects the full time to refute and returns
+// their ids.
+func (l *List) restartSuspicion(now time.Time) []mesh.NodeID {
+	ids := l.sorted(func(r *record) bool { return r.Status == Suspect })
+	for _, id := range ids {
+		l.others[id].since = now
+	}
+	return ids
+}
+
+// recheck ends the caution after a pause: it probes all suspects, since their
+// refutations may have been lost.
+func (l *List) recheck(now time.Time) []Datagram {
+	ids := l.restartSuspicion(now)
+	var out []Datagram
+	for _, id := range ids[:min(len(ids), recheckLimit)] {
+		l.sequence++
+		out = append(out, l.probeOf(now, l.others[id], l.sequence))
+	}
+	return out
+}
+
 // sweep declares suspects dead and forgets members after their time.
 func (l *List) sweep(now time.Time) {
 	limit := suspicion(l.Size())
@@ -88,7 +107,7 @@
 		r := l.others[id]
 		age := now.Sub(r.since)
 		switch {
-		case r.Status == Suspect && age >= limit && l.cautious == 0:
+		case r.Status == Suspect && age >= limit && !l.caution.active():
 			m := r.Member
 			m.Status = Dead
 			l.put(now, Update{Member: m})
@@ -108,47 +127,47 @@
 
 // nextRound concludes the present probe and starts the next one.
 func (l *List) nextRound(now time.Time) []Datagram {
-	l.conclude(now)
+	out := l.conclude(now)
 	l.nextProbe = l.nextProbe.Add(probePeriod)
 	if !l.nextProbe.After(now) {
 		l.nextProbe = now.Add(probePeriod)
 	}
 	r, ok := l.nextTarget()
 	if !ok {
-		l.cautious = 0
-		return nil
+		l.caution = caution{}
+		return out
 	}
 	l.sequence++
 	l.counts.Probes++
 	l.probe = &probe{target: r.ID, sequence: l.sequence, at: now}
-	return []Datagram{l.probeOf(now, r, l.sequence)}
+	return append(out, l.probeOf(now, r, l.sequence))
 }
 
 func (l *List) probeOf(now time.Time, r *record, sequence uint64) Datagram {
-	m := l.message(now, Probe, r.ID)
+	m := l.message(now, Probe, r.ID, false)
 	m.Sequence, m.Target = sequence, r.ID
 	return Datagram{To: r.Addr, Message: m}
 }
 
 // conclude ends the present probe; a silent member becomes suspect.
-func (l *List) conclude(now time.Time) {
+func (l *List) conclude(now time.Time) []Datagram {
 	p := l.probe
 	l.probe = nil
 	if p == nil {
-		return
-	}
-	if l.cautious > 0 {
-		l.cautious--
+		return nil
 	}
-	if p.acked {
-		return
+	if !p.acked {
+		l.counts.Failed++
+		if r, ok := l.others[p.target]; ok && r.Status == Alive {
+			m := r.Member
+			m.Status = Suspect
+			l.put(now, Update{Member: m})
+		}
 	}
-	l.counts.Failed++
-	if r, ok := l.others[p.target]; ok && r.Status == Alive {
-		m := r.Member
-		m.Status = Suspect
-		l.put(now, Update{Member: m})
+	if l.caution.probed(p.acked) {
+		return l.recheck(now)
 	}
+	return nil
 }
 
 // nextTarget returns the next member in shuffled round-robin order.
@@ -176,7 +195,7 @@
 	}
 	var out []Datagram
 	for _, r := range l.pick(relays, p.target) {
-		m := l.message(now, Relay, r.ID)
+		m := l.message(now, Relay, r.ID, false)
 		m.Sequence, m.Target, m.Addr = p.sequence, t.ID, t.Addr
 		out = append(out, Datagram{To: r.Addr, Message: m})
 	}
@@ -200,7 +219,7 @@
 	l.nextGossip = time.Time{}
 	var out []Datagram
 	for _, r := range l.pick(gossipFanout, "") {
-		if m := l.message(now, Gossip, r.ID); len(m.Updates) > 0 {
+		if m := l.message(now, Gossip, r.ID, false); len(m.Updates) > 0 {
 			out = append(out, Datagram{To: r.Addr, Message: m})
 		}
 	}
@@ -232,12 +251,13 @@
 	return nil
 }
 
-// answer acknowledges a probe.
+// answer acknowledges a probe. The answer carries the record of this node if
+// the sender holds an older one, or meant another node at this address.
 func (l *List) answer(now time.Time, to mesh.Addr, m Message) []Datagram {
-	if m.Target != l.self.ID {
-		l.enqueue(now, l.self.ID)
-	}
-	a := l.message(now, Ack, m.From)
+	own := m.Target != l.self.ID || slices.ContainsFunc(m.Updates, func(u Update) bool {
+		return u.ID == l.self.ID && l.self.Overrides(u.Member)
+	})
+	a := l.message(now, Ack, m.From, own)
 	a.Sequence, a.Target = m.Sequence, l.self.ID
 	return []Datagram{{To: to, Message: a}}
 }
@@ -253,7 +273,7 @@
 		return nil
 	}
 	delete(l.relay, m.Sequence)
-	a := l.message(now, Ack, r.from)
+	a := l.message(now, Ack, r.from, false)
 	a.Sequence, a.Target = r.sequence, r.target
 	return []Datagram{{To: r.addr, Message: a}}
 }
@@ -262,7 +282,7 @@
 func (l *List) relayProbe(now time.Time, from mesh.Addr, m Message) []Datagram {
 	l.sequence++
 	l.relay[l.sequence] = relayed{from: m.From, addr: from, sequence: m.Sequence, target: m.Target, at: now}
-	p := l.message(now, Probe, m.Target)
+	p := l.message(now, Probe, m.Target, false)
 	p.Sequence, p.Target = l.sequence, m.Target
 	return []Datagram{{To: m.Addr, Message: p}}
 }
--- a/internal/core/member/queue.go
+++ b/internal/core/member/queue.go
@@ -24,17 +24,20 @@
 }
 
 // message returns a message to the member to (which may be unknown) that
-// carries what this node thinks of that member unless it is alive, then queued
-// updates up to the budget.
-func (l *List) message(now time.Time, k Kind, to mesh.NodeID) Message {
+// carries the record of this node if own is set, what this node thinks of the
+// receiver unless it is alive, then queued updates up to the budget.
+func (l *List) message(now time.Time, k Kind, to mesh.NodeID, own bool) Message {
 	m := Message{Kind: k, From: l.self.ID, Version: l.version}
 	left := l.cfg.Budget
+	if own {
+		left -= l.add(now, &m, l.self.ID, left)
+	}
 	if r, ok := l.others[to]; ok && r.Status != Alive {
 		left -= l.add(now, &m, to, left)
 	}
 	limit := transmissions(l.live)
 	for _, id := range l.queue.next() {
-		if id == to {
+		if id == to || own && id == l.self.ID {
 			continue
 		}
 		n := l.add(now, &m, id, left)
--- /dev/null
+++ b/internal/peer/control_test.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"expvar"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+func testRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// sample is what a group of peers has used so far.
+type sample struct {
+	at             time.Time
+	cpu            time.Duration
+	sent, received map[string]int64
+}
+
+func sum64(m map[string]int64) int64 {
+	var n int64
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+func measure(ps []*testPeer) sample {
+	s := sample{at: time.Now(), sent: make(map[string]int64), received: make(map[string]int64)}
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) == nil {
+		s.cpu = time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	add := func(to map[string]int64, m *expvar.Map) {
+		m.Do(func(kv expvar.KeyValue) { to[kv.Key] += kv.Value.(*expvar.Int).Value() })
+	}
+	for _, p := range ps {
+		add(s.sent, p.stats.bytesSent)
+		add(s.received, p.stats.bytesReceived)
+	}
+	return s
+}
+
+// report reports what n peers used between two samples, per peer and second.
+func report(b *testing.B, n int, from, to sample) {
+	per := to.at.Sub(from.at).Seconds() * float64(n)
+	b.ReportMetric(float64(sum64(to.sent)-sum64(from.sent))/per, "sentB/node/s")
+	b.ReportMetric(float64(sum64(to.received)-sum64(from.received))/per, "recvB/node/s")
+	for _, k := range []string{"probe", "ack", "gossip", httpKind} {
+		b.ReportMetric(float64(to.sent[k]-from.sent[k])/per, k+"B/node/s")
+	}
+	b.ReportMetric(float64((to.cpu-from.cpu).Microseconds())/per, "cpu-us/node/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkIdle prints control bytes and CPU time per node without edits. Run
+// it with -benchtime 1x.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{10, 30, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			ps := startAll(b, n)
+			time.Sleep(15 * time.Second) // the updates of the start are spread
+			for b.Loop() {
+				from := measure(ps)
+				time.Sleep(10 * time.Second)
+				report(b, n, from, measure(ps))
+			}
+		})
+	}
+}
+
+// BenchmarkEdits prints the same with one edit each second, at 1% loss of
+// datagrams, and the time from publishing to the last node.
+func BenchmarkEdits(b *testing.B) {
+	const edits = 30
+	for _, n := range []int{10, 30, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			ps := startAll(b, n, withLoss(0.01))
+			publish(b, ps[0], 1)
+			eventually(b, 10*time.Second, allAt(ps, 1), "first version")
+			time.Sleep(15 * time.Second)
+			h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3) // us
+			v := mesh.Version(1)
+			for b.Loop() {
+				from := measure(ps)
+				for range edits {
+					v++
+					start := time.Now()
+					publish(b, ps[int(v)%n], v)
+					for !allAt(ps, v)() {
+						time.Sleep(time.Millisecond)
+					}
+					require.NoError(b, h.RecordValue(time.Since(start).Microseconds()))
+					time.Sleep(time.Until(start.Add(time.Second)))
+				}
+				report(b, n, from, measure(ps))
+			}
+			b.ReportMetric(float64(h.ValueAtQuantile(50))/1000, "p50-ms")
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1000, "p99-ms")
+			b.ReportMetric(float64(h.Max())/1000, "max-ms")
+		})
+	}
+}
