Revert the refusal of late heads after a sustained run

The run of late tickets ends at the first one in time, and at the edge of the budget the wait crosses it all the time, so the rule hardly ever acted.

--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -44,13 +44,12 @@
 	spread   float64       // mean deviation of the service time in seconds
 	interval float64       // mean seconds between two admissions from the queue
 	last     time.Duration // last admission from the queue, or start of waiting
-	lateFrom time.Duration // start of the present run of late tickets, or -1
 	merged   *rank         // rank that took over the tickets of a removed one
 	latency  baseline
 }
 
 func newRank(p config.RankPolicy, now time.Duration) *rank {
-	r := &rank{refilled: now, lateFrom: -1, service: initialService.Seconds()}
+	r := &rank{refilled: now, service: initialService.Seconds()}
 	r.queue.lines = make(map[mesh.ClientAccount]*line)
 	r.setPolicy(p)
 	return r
@@ -101,22 +100,6 @@
 	return time.Duration((r.service + spreads*r.spread) * float64(time.Second))
 }
 
-// late reports whether t, which is first in its queue, is to be refused because
-// its answer would miss the target while more work of r waits behind it. That
-// is done only once tickets have been late for the time of a target: after a
-// short stall of the backend server a late answer is better than a refusal.
-func (r *rank) late(now time.Duration, t *Ticket) bool {
-	target := r.policy.Target
-	if target <= 0 || now-t.offered+r.expectedService() <= target {
-		r.lateFrom = -1
-		return false
-	}
-	if r.lateFrom < 0 {
-		r.lateFrom = now
-	}
-	return r.queue.n > 0 && now-r.lateFrom > target
-}
-
 // dequeued records an admission from the queue.
 func (r *rank) dequeued(now time.Duration) {
 	r.interval += intervalWeight * ((now - r.last).Seconds() - r.interval)
