Refuse requests that have become too late while more work waits

The wait of a queued request can turn out longer than estimated. When its turn comes too late for the target and more work of its rank waits, that later work is now served instead; the last one in the queue is always served. A new stall test shows what this costs when there is no overload.

--- a/internal/core/admit/flood_test.go
+++ b/internal/core/admit/flood_test.go
@@ -71,6 +71,7 @@
 		if v.order != Floors {
 			continue
 		}
+		require.GreaterOrEqual(t, urgent, 0.9*(1-0.1-0.05), v.name)
 		for _, p := range testRanks[1:3] {
 			got := res[p.Name].slotTime.Seconds() / secs
 			require.GreaterOrEqual(t, got, p.Floor*simSlots*0.95, "%s: slots of %s", v.name, p.Name)
@@ -78,6 +79,20 @@
 	}
 }
 
+// TestStall guards the requests that queued up during a short stall of the
+// backend server, without any overload, against being refused for it.
+func TestStall(t *testing.T) {
+	for _, stall := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond} {
+		s := newSim(Floors, false, 0.5, 0.1, 0.1)
+		s.loads[0].deadline = 2 * time.Second
+		s.slow = func(at time.Duration) time.Duration {
+			return max(0, min(stall, 15*time.Second+stall-at)) * time.Duration(at/(15*time.Second))
+		}
+		u := s.run()["urgent"]
+		fmt.Printf("stall of %v: urgent refused %d, late %d, of %d queued meanwhile\n%s", stall, u.refused, u.late, int(stall.Seconds()*s.loads[0].rate), s.table())
+	}
+}
+
 // TestBulkReserve guards urgent requests against waiting behind long bulk
 // requests that came first.
 func TestBulkReserve(t *testing.T) {
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -284,6 +284,10 @@
 		}
 		t := r.queue.pop()
 		m.leave(t)
+		if m.order != Arrival && r.late(at, t) {
+			m.refuse(t, errLate)
+			continue
+		}
 		r.dequeued(at)
 		m.admit(at, t)
 		m.decided = append(m.decided, t)
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -100,6 +100,13 @@
 	return time.Duration((r.service + spreads*r.spread) * float64(time.Second))
 }
 
+// late reports whether t, which was first in its queue, is to be refused because
+// its answer would miss the target while more work of r waits behind it.
+func (r *rank) late(now time.Duration, t *Ticket) bool {
+	target := r.policy.Target
+	return target > 0 && r.queue.n > 0 && now-t.offered+r.expectedService() > target
+}
+
 // dequeued records an admission from the queue.
 func (r *rank) dequeued(now time.Duration) {
 	r.interval += intervalWeight * ((now - r.last).Seconds() - r.interval)
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -71,6 +71,7 @@
 	errTarget    = fault.New(fault.Overloaded, "expected wait exceeds the target of the rank")
 	errEvicted   = fault.New(fault.Overloaded, "displaced by a client account with less waiting work")
 	errExpired   = fault.New(fault.DeadlineExceeded, "deadline passed in the queue")
+	errLate      = fault.New(fault.Overloaded, "waited too long for the target of the rank")
 	errDraining  = fault.New(fault.Draining, "the backend server is draining")
 	errNoRanks   = fault.New(fault.NotReady, "no configuration is held yet")
 )
