Cut off service times that are far above the mean

After a stall of 500 ms the mean service time held requests against their target for half a second longer than needed. Samples now count as at most 4 times the mean; a lasting change still comes through, since the bound grows with the mean.

--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -23,6 +23,9 @@
 	// intervalWeight is the weight of a new sample in the mean time between
 	// two admissions from the queue.
 	intervalWeight = 1.0 / 64
+	// outlier is the ratio to the mean service time at which a sample is cut
+	// off, so that one long stall does not stand for the normal service time.
+	outlier = 4
 	// spreads is the number of mean deviations added to the mean service time
 	// when a request is held against its deadline and target.
 	spreads = 2
@@ -96,6 +99,7 @@
 func (r *rank) served(now time.Duration, charged float64, d time.Duration) {
 	s := d.Seconds()
 	r.credit += charged - s
+	s = min(s, outlier*r.service)
 	w := min(serviceWeight, float64(now-r.sampled)/float64(serviceMemory))
 	r.sampled = now
 	diff := s - r.service
