Judge every reduction of the concurrency limit by its effect

The gradient lowered the limit whenever latency rose, also when the backend server had only become slower, where a lower limit costs throughput and helps nothing. A reduction is now taken back, and the present latency becomes the best one, unless latency fell with it.

--- a/internal/core/admit/flood_test.go
+++ b/internal/core/admit/flood_test.go
@@ -149,3 +149,43 @@
 		}
 	}
 }
+
+// TestDegradedServer compares the fixed with the adaptive limit when the
+// backend server has fewer slots than it announced, and when all its requests
+// take longer although it has them. It guards against an adaptive limit that
+// costs more than a tenth of the useful work in either case.
+func TestDegradedServer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		real int
+		slow time.Duration
+	}{
+		{"8 of 20 slots", 8, 0},
+		{"60 ms instead of 20 ms", simSlots, 40 * time.Millisecond},
+	} {
+		var useful [2]int
+		for i, fixed := range []bool{true, false} {
+			s := newSim(Floors, fixed, 0.15, 0.1, 10)
+			s.conf.Ranks = append(testRanks[:0:0], testRanks[:3]...)
+			s.conf.Ranks[0].Target = 200 * time.Millisecond
+			after := func(at time.Duration) bool { return at >= 5*time.Second }
+			s.real = func(at time.Duration) int {
+				if after(at) {
+					return c.real
+				}
+				return simSlots
+			}
+			s.slow = func(at time.Duration) time.Duration {
+				if after(at) {
+					return c.slow
+				}
+				return 0
+			}
+			for _, o := range s.run() {
+				useful[i] += o.inTime
+			}
+			fmt.Printf("%s, fixed limit %v: limit at the end %d\n%s", c.name, fixed, s.m.Limit(s.clock()), s.table())
+		}
+		require.GreaterOrEqual(t, float64(useful[1]), 0.9*float64(useful[0]), c.name)
+	}
+}
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -11,14 +11,16 @@
 	// updatePeriod is the least time between two updates of the limit.
 	updatePeriod = 100 * time.Millisecond
 	// updateSamples is the least number of samples of an update.
-	updateSamples = 16
+	updateSamples = 32
 	// tolerance is the ratio of latency to the best recent latency that does
 	// not yet lower the limit.
 	tolerance = 1.5
-	// leastGradient bounds the reduction by one update.
-	leastGradient = 0.5
-	// smoothing is the weight of a new limit against the old.
-	smoothing = 0.3
+	// reduction is the share by which the limit is lowered at a time. It is
+	// large enough for its effect to stand out from the noise of 32 samples.
+	reduction = 0.3
+	// growth is the growth of the limit by one update, in square roots of the
+	// limit.
+	growth = 0.3
 	// baselineGrowth is the growth of the best latency per second. It lets the
 	// baseline follow a lasting change of the work.
 	baselineGrowth = 0.02
@@ -33,7 +35,22 @@
 	best float64 // seconds, 0 if unknown
 }
 
+// phase is what the limiter does with the samples until the next update.
+type phase uint8
+
+const (
+	steady   phase = iota
+	settling       // the limit was lowered; requests admitted before still end
+	judging        // shows whether the lower limit lowered the latency
+)
+
 // limiter is the adaptive concurrency limit.
+//
+// Latency above the best recent one has two causes. If requests queue inside
+// the backend server, a lower limit lowers the latency and costs no throughput.
+// If the server has just become slower, a lower limit only costs throughput. So
+// every reduction is judged: if it did not help, it is taken back and the
+// present latency becomes the best one.
 type limiter struct {
 	slots   int
 	fixed   bool
@@ -42,7 +59,11 @@
 	started time.Duration // start of the ramp
 	updated time.Duration
 	samples int
-	busy    bool // the limit was reached since the last update
+	seconds float64 // sum of the samples
+	busy    bool    // the limit was reached since the last update
+	phase   phase
+	before  float64 // slowness that caused the last reduction
+	restore float64 // limit before the present run of reductions, or 0
 }
 
 // limit returns the number of requests that may be in flight.
@@ -71,33 +92,63 @@
 func (l *limiter) sample(b *baseline, latency time.Duration) {
 	b.sum += latency.Seconds()
 	b.n++
+	l.seconds += latency.Seconds()
 	l.samples++
 }
 
+// due reports whether enough was observed since the last update. The time
+// covers two requests, so that after one update nothing admitted before a
+// reduction is in flight.
+func (l *limiter) due(since time.Duration) bool {
+	if since < updatePeriod || l.samples < updateSamples {
+		return false
+	}
+	return since.Seconds() >= 2*l.seconds/float64(l.samples)
+}
+
 // update adapts the limit if enough was observed since the last update.
 func (l *limiter) update(now time.Duration, ranks []*rank) {
 	since := now - l.updated
-	if since < updatePeriod || l.samples < updateSamples {
+	if l.fixed || !l.due(since) {
 		return
 	}
-	g := gradient(ranks, since.Seconds())
-	if !l.fixed && (l.busy || g < 1) {
-		next := l.value*g + math.Sqrt(l.value)
-		l.value += smoothing * (next - l.value)
-		l.value = min(max(l.value, 1), float64(l.slots))
+	s := slowness(ranks, since.Seconds())
+	switch {
+	case l.phase == settling:
+		l.phase = judging
+	case l.phase == judging && s > l.before*(1-reduction/2):
+		l.value, l.restore, l.phase = l.restore, 0, steady
+		accept(ranks, s)
+	case s > tolerance && l.busy:
+		l.reduce(s)
+	default:
+		l.phase, l.restore = steady, 0
+		if l.busy {
+			l.value = min(l.value+growth*math.Sqrt(l.value), float64(l.slots))
+		}
+	}
+	for _, r := range ranks {
+		r.latency.sum, r.latency.n = 0, 0
+	}
+	l.updated, l.samples, l.seconds, l.busy = now, 0, 0, false
+}
+
+// reduce lowers the limit because of slowness s.
+func (l *limiter) reduce(s float64) {
+	if l.restore == 0 {
+		l.restore = l.value
 	}
-	l.updated, l.samples, l.busy = now, 0, false
+	l.before, l.phase = s, settling
+	l.value = max(l.value*(1-reduction), 1)
 }
 
-// gradient returns the mean ratio of the tolerated latency to the observed one
-// over all samples, between leastGradient and 1, and starts new windows.
-func gradient(ranks []*rank, seconds float64) float64 {
+// slowness returns the mean ratio of the observed latency to the best one, over
+// all samples since the last update. It keeps the best latencies up to date.
+func slowness(ranks []*rank, seconds float64) float64 {
 	var sum, n float64
 	for _, r := range ranks {
 		b := &r.latency
-		if b.best > 0 {
-			b.best *= 1 + baselineGrowth*seconds
-		}
+		b.best *= 1 + baselineGrowth*seconds
 		if b.n == 0 {
 			continue
 		}
@@ -105,13 +156,23 @@
 		if b.best == 0 || mean < b.best {
 			b.best = mean
 		}
-		g := min(max(tolerance*b.best/mean, leastGradient), 1)
-		sum += g * float64(b.n)
+		sum += mean / b.best * float64(b.n)
 		n += float64(b.n)
-		b.sum, b.n = 0, 0
 	}
 	if n == 0 {
 		return 1
 	}
 	return sum / n
 }
+
+// accept makes the present latency, s times the best one, the best one.
+func accept(ranks []*rank, s float64) {
+	for _, r := range ranks {
+		b := &r.latency
+		if b.n > 0 {
+			b.best = b.sum / float64(b.n)
+		} else {
+			b.best *= s
+		}
+	}
+}
