--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -61,7 +61,6 @@
 	samples int
 	seconds float64 // sum of the samples
 	busy    bool    // the limit was reached since the last update
-	slow    bool    // the last update saw latency above the tolerance
 	phase   phase
 	before  float64 // slowness that caused the last reduction
 	restore float64 // limit before the present run of reductions, or 0
@@ -120,12 +119,10 @@
 	case l.phase == judging && s > l.before*(1-reduction/2):
 		l.value, l.restore, l.phase = l.restore, 0, steady
 		accept(ranks, s)
-	case s > tolerance && l.busy && l.slow:
-		l.reduce(s)
 	case s > tolerance && l.busy:
-		l.slow, l.phase = true, steady
+		l.reduce(s)
 	default:
-		l.slow, l.phase, l.restore = false, steady, 0
+		l.phase, l.restore = steady, 0
 		if l.busy {
 			l.value = min(l.value+growth*math.Sqrt(l.value), float64(l.slots))
 		}
