Compare a reduction over the ranks that caused it

A trace of the limit showed a reduction about every second with a server at 60 ms: means of one to three samples of the least urgent rank set its baseline far too low, and the next update, without that rank, looked like a success. A rank now counts from 16 samples, its baseline moves by 0.3 of the way, and a reduction is judged by the ranks that were known when it was made.

go test -v -run 'TestDegradedServer|TestStall' ./internal/core/admit.

--- a/internal/core/admit/flood_test.go
+++ b/internal/core/admit/flood_test.go
@@ -86,7 +86,7 @@
 		s := newSim(Floors, i%2 == 0, 0.5, 0.1, 0.1)
 		s.loads[0].deadline = 2 * time.Second
 		s.slow = func(at time.Duration) time.Duration {
-			return max(0, min(stall, 15*time.Second+stall-at)) * time.Duration(at/(15*time.Second))
+			return max(0, min(stall, 15*time.Second+stall-at)) * (at / (15 * time.Second))
 		}
 		u := s.run()["urgent"]
 		fmt.Printf("stall of %v, fixed limit %v: urgent refused %d, late %d, of %d queued meanwhile\n%s", stall, s.conf.Fixed, u.refused, u.late, int(stall.Seconds()*s.loads[0].rate), s.table())
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -12,6 +12,12 @@
 	updatePeriod = 100 * time.Millisecond
 	// updateSamples is the least number of samples of an update.
 	updateSamples = 32
+	// baselineSamples is the least number of samples of a rank that are compared
+	// with its baseline; fewer are kept for the next update.
+	baselineSamples = 16
+	// baselineWeight is the weight of a better latency in the baseline. The
+	// least of many noisy means would be far below the true latency.
+	baselineWeight = 0.3
 	// tolerance is the ratio of latency to the best recent latency that does
 	// not yet lower the limit.
 	tolerance = 1.5
@@ -33,8 +39,14 @@
 	sum  float64 // seconds, samples since the last update
 	n    int
 	best float64 // seconds, 0 if unknown
+	then float64 // mean that led to the last reduction, 0 if not known then
 }
 
+// known reports whether enough samples are in hand.
+func (b *baseline) known() bool { return b.n >= baselineSamples }
+
+func (b *baseline) mean() float64 { return max(b.sum/float64(b.n), 1e-6) }
+
 // phase is what the limiter does with the samples until the next update.
 type phase uint8
 
@@ -113,35 +125,86 @@
 		return
 	}
 	s := slowness(ranks, since.Seconds())
-	switch {
-	case l.phase == settling:
+	switch l.phase {
+	case settling:
 		l.phase = judging
-	case l.phase == judging && s > l.before*(1-reduction/2):
-		l.value, l.restore, l.phase = l.restore, 0, steady
-		accept(ranks, s)
-	case s > tolerance && l.busy:
-		l.reduce(s)
-	default:
-		l.phase, l.restore = steady, 0
-		if l.busy {
-			l.value = min(l.value+growth*math.Sqrt(l.value), float64(l.slots))
-		}
-	}
-	for _, r := range ranks {
-		r.latency.sum, r.latency.n = 0, 0
+		forgetSamples(ranks, true)
+	case judging:
+		l.judge(ranks, s)
+	case steady:
+		l.adapt(ranks, s)
 	}
 	l.updated, l.samples, l.seconds, l.busy = now, 0, 0, false
 }
 
+// adapt lowers the limit if latency is high, and raises it if more is asked
+// for.
+func (l *limiter) adapt(ranks []*rank, s float64) {
+	switch {
+	case !l.busy:
+		l.restore = 0
+	case s > tolerance:
+		l.reduce(ranks, s)
+	default:
+		l.restore = 0
+		l.value = min(l.value+growth*math.Sqrt(l.value), float64(l.slots))
+	}
+	forgetSamples(ranks, false)
+}
+
 // reduce lowers the limit because of slowness s.
-func (l *limiter) reduce(s float64) {
+func (l *limiter) reduce(ranks []*rank, s float64) {
 	if l.restore == 0 {
 		l.restore = l.value
 	}
+	for _, r := range ranks {
+		r.latency.then = 0
+		if r.latency.known() {
+			r.latency.then = r.latency.mean()
+		}
+	}
 	l.before, l.phase = s, settling
 	l.value = max(l.value*(1-reduction), 1)
 }
 
+// judge takes the last reduction back unless the latency of the ranks that led
+// to it has fallen. It waits until at least one of them is known again.
+func (l *limiter) judge(ranks []*rank, s float64) {
+	var was, is float64
+	for _, r := range ranks {
+		if b := &r.latency; b.known() && b.then > 0 {
+			was += b.then * float64(b.n)
+			is += b.sum
+		}
+	}
+	if was == 0 {
+		return
+	}
+	l.phase = steady
+	if is <= was*(1-reduction/2) {
+		l.adapt(ranks, s)
+		return
+	}
+	l.value, l.restore = l.restore, 0
+	for _, r := range ranks {
+		if b := &r.latency; b.known() {
+			b.best = b.mean()
+		} else {
+			b.best *= l.before
+		}
+	}
+	forgetSamples(ranks, false)
+}
+
+// forgetSamples starts new samples for the ranks that are known, or for all.
+func forgetSamples(ranks []*rank, all bool) {
+	for _, r := range ranks {
+		if b := &r.latency; all || b.known() {
+			b.sum, b.n = 0, 0
+		}
+	}
+}
+
 // slowness returns the mean ratio of the observed latency to the best one, over
 // all samples since the last update. It keeps the best latencies up to date.
 func slowness(ranks []*rank, seconds float64) float64 {
@@ -149,12 +212,15 @@
 	for _, r := range ranks {
 		b := &r.latency
 		b.best *= 1 + baselineGrowth*seconds
-		if b.n == 0 {
+		if !b.known() {
 			continue
 		}
-		mean := max(b.sum/float64(b.n), 1e-6)
-		if b.best == 0 || mean < b.best {
+		mean := b.mean()
+		switch {
+		case b.best == 0:
 			b.best = mean
+		case mean < b.best:
+			b.best += baselineWeight * (mean - b.best)
 		}
 		sum += mean / b.best * float64(b.n)
 		n += float64(b.n)
@@ -164,15 +230,3 @@
 	}
 	return sum / n
 }
-
-// accept makes the present latency, s times the best one, the best one.
-func accept(ranks []*rank, s float64) {
-	for _, r := range ranks {
-		b := &r.latency
-		if b.n > 0 {
-			b.best = b.sum / float64(b.n)
-		} else {
-			b.best *= s
-		}
-	}
-}
