Take a reduction of the limit back only after a second failure

Right after a backend server loses slots its latency still rises, so the first reduction looks useless. A second one is tried before the present latency is accepted as the best.

go test -v -run 'TestDegradedServer|TestStall' ./internal/core/admit.

--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -75,6 +75,7 @@
 	busy    bool    // the limit was reached since the last update
 	phase   phase
 	before  float64 // slowness that caused the last reduction
+	doubted bool    // the last reduction did not help
 	restore float64 // limit before the present run of reductions, or 0
 }
 
@@ -182,10 +183,17 @@
 	}
 	l.phase = steady
 	if is <= was*(1-reduction/2) {
+		l.doubted = false
 		l.adapt(ranks, s)
 		return
 	}
-	l.value, l.restore = l.restore, 0
+	if !l.doubted {
+		// The latency may still have been rising when the limit was lowered.
+		l.doubted = true
+		l.reduce(ranks, max(s, l.before))
+		return
+	}
+	l.value, l.restore, l.doubted = l.restore, 0, false
 	for _, r := range ranks {
 		if b := &r.latency; b.known() {
 			b.best = b.mean()
