Add harness for meshes of real processes

Integration tests and the load tool start the platform stand-in, nodes, backend servers and relays as child processes and signal them by process id. Children are started on one thread that never ends, because the kernel kills them with the thread that started them; so none outlives its parent. Partitions need the source of a connection, which is found from the socket's owner, since nodes connect from kernel-assigned ports.

--- a/internal/standin/backend/body.go
+++ b/internal/standin/backend/body.go
@@ -1,11 +1,14 @@
 package backend
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -32,14 +35,33 @@
 	return "sha-256=:" + base64.StdEncoding.EncodeToString(d[:]) + ":"
 }
 
-// CheckResponse returns an error unless h and body are the complete response
+// ErrWrongBody is the error of a body or an id that does not belong to the
+// request although the response looked complete.
+var ErrWrongBody = errors.New("response does not belong to the request")
+
+// CheckResponse returns an error that wraps ErrWrongBody unless h and body are the complete response
 // to the request with the given id.
 func CheckResponse(h http.Header, body []byte, id mesh.RequestID) error {
 	if got := h.Get(mesh.RequestHeader); got != string(id) {
-		return fmt.Errorf("response carries request id %q, want %q", got, id)
+		return fmt.Errorf("%w: it carries request id %q, want %q", ErrWrongBody, got, id)
 	}
 	if got, want := FormatDigest(body), h.Get(DigestHeader); got != want {
-		return fmt.Errorf("body of %d bytes has digest %s, header says %q", len(body), got, want)
+		return fmt.Errorf("%w: body of %d bytes has digest %s, header says %q", ErrWrongBody, len(body), got, want)
+	}
+	return nil
+}
+
+// CheckBody returns an error that wraps ErrWrongBody unless body is the one
+// that a backend stand-in returns for a request with that path and id. It holds
+// even if a node replaced the headers of the response.
+func CheckBody(path string, body []byte, id mesh.RequestID) error {
+	path, _, _ = strings.Cut(path, "?")
+	name := string(id)
+	if immutable(path) {
+		name = path
+	}
+	if !bytes.Equal(body, Body(name, len(body))) {
+		return fmt.Errorf("%w: body of %d bytes is not that of request %q", ErrWrongBody, len(body), id)
 	}
 	return nil
 }
--- a/internal/standin/relay/control.go
+++ b/internal/standin/relay/control.go
@@ -21,7 +21,7 @@
 	return Status{
 		Plan:        r.Plan(),
 		Listen:      r.addr,
-		Target:      r.cfg.Target,
+		Target:      r.Target(),
 		Seed:        r.cfg.Seed,
 		Connections: r.connections.Load(),
 		Datagrams:   r.datagrams.Load(),
--- a/internal/standin/relay/datagram.go
+++ b/internal/standin/relay/datagram.go
@@ -43,7 +43,7 @@
 }
 
 // flow returns the flow of client and creates it if needed, or nil if the
-// relay stops.
+// relay stops or has no target.
 func (r *Relay) flow(ctx context.Context, g *errgroup.Group, client *net.UDPAddr) (*flow, error) {
 	key := client.String()
 	r.mu.Lock()
@@ -51,7 +51,7 @@
 	if f := r.flows[key]; f != nil {
 		return f, nil
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.target == nil {
 		return nil, nil
 	}
 	c, err := net.DialUDP("udp", nil, r.target)
@@ -63,7 +63,9 @@
 	g.Go(func() error {
 		r.readResponses(ctx, f, client)
 		r.mu.Lock()
-		delete(r.flows, key)
+		if r.flows[key] == f {
+			delete(r.flows, key)
+		}
 		r.mu.Unlock()
 		_ = c.Close()
 		return nil
--- a/internal/standin/relay/link.go
+++ b/internal/standin/relay/link.go
@@ -47,7 +47,7 @@
 		return
 	}
 	d := net.Dialer{Timeout: dialTimeout}
-	t, err := d.DialContext(ctx, "tcp", r.cfg.Target)
+	t, err := d.DialContext(ctx, "tcp", r.Target())
 	if err != nil {
 		refuse(client)
 		return
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -16,7 +16,7 @@
 // Config configures a Relay.
 type Config struct {
 	Listen string // address for TCP and UDP; 127.0.0.1:0 if empty
-	Target string // address to forward to
+	Target string // address to forward to; may be set later by SetTarget
 	NoTCP  bool
 	NoUDP  bool
 	Seed   uint64
@@ -26,15 +26,15 @@
 
 // Relay forwards connections and datagrams.
 type Relay struct {
-	cfg    Config
-	addr   string
-	udp    *net.UDPConn
-	target *net.UDPAddr
+	cfg  Config
+	addr string
+	udp  *net.UDPConn
 
 	connections, datagrams, lost atomic.Int64
 
 	mu      sync.Mutex
 	rnd     *rand.Rand
+	target  *net.UDPAddr // nil until known
 	plan    Plan
 	changed chan struct{} // closed when plan changes
 	tcp     net.Listener  // nil while cut
@@ -53,21 +53,52 @@
 	if cfg.Source == nil {
 		cfg.Source = sourceIP
 	}
-	target, err := net.ResolveUDPAddr("udp", cfg.Target)
-	if err != nil {
-		return nil, fmt.Errorf("relay target: %w", err)
-	}
 	r := &Relay{
 		cfg:     cfg,
-		target:  target,
 		rnd:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		changed: make(chan struct{}),
 		links:   make(map[*link]bool),
 		flows:   make(map[string]*flow),
 	}
+	if cfg.Target != "" {
+		if err := r.SetTarget(cfg.Target); err != nil {
+			return nil, err
+		}
+	}
 	return r, r.open()
 }
 
+// SetTarget changes the address to forward to and resets the connections to
+// the earlier one. Without a target, connections are reset and datagrams are
+// dropped.
+func (r *Relay) SetTarget(addr string) error {
+	a, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return fmt.Errorf("relay target: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = a
+	for l := range r.links {
+		l.reset()
+	}
+	for k, f := range r.flows {
+		_ = f.conn.Close()
+		delete(r.flows, k)
+	}
+	return nil
+}
+
+// Target returns the address to forward to, or "".
+func (r *Relay) Target() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.target == nil {
+		return ""
+	}
+	return r.target.String()
+}
+
 func sourceIP(a net.Addr) string {
 	host, _, err := net.SplitHostPort(a.String())
 	if err != nil {
--- /dev/null
+++ b/internal/trial/command.go
@@ -0,0 +1,37 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+
+	"lavenderrill.dev/lavenderrill/internal/settings"
+)
+
+// Output is the result of an operator command.
+type Output struct {
+	Stdout, Stderr string
+	Code           int // exit code
+}
+
+// Command runs an operator command with the token of the mesh. An exit code
+// other than 0 is no error.
+func (m *Mesh) Command(ctx context.Context, args ...string) (Output, error) {
+	cmd := exec.CommandContext(ctx, m.bin.Node, args...)
+	cmd.Env = append(os.Environ(), settings.TokenEnv+"="+Token)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	err := startCommand(cmd)
+	if err == nil {
+		err = cmd.Wait()
+	}
+	o := Output{Stdout: out.String(), Stderr: errOut.String()}
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		o.Code = exit.ExitCode()
+		return o, ctx.Err()
+	}
+	return o, err
+}
--- /dev/null
+++ b/internal/trial/node.go
@@ -0,0 +1,215 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/backend"
+	"lavenderrill.dev/lavenderrill/internal/standin/relay"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// Addrs are the addresses of a node.
+type Addrs struct {
+	ID       mesh.NodeID `json:"id"`
+	Caller   string      `json:"caller"`
+	Peer     string      `json:"peer"`
+	Operator string      `json:"operator"`
+	Backend  string      `json:"backend"`
+}
+
+// Node is one node of a mesh with its backend server.
+type Node struct {
+	Index int
+	Name  string
+	Spec  Spec
+	Relay *relay.Relay // nil without relays
+
+	m *Mesh
+
+	mu      sync.Mutex
+	addrs   Addrs
+	process *Process
+	server  *Server
+	starts  int // of backend servers, for the names of their files
+}
+
+// Addrs returns the current addresses of n. They stay the same when the node
+// starts again, except for the id.
+func (n *Node) Addrs() Addrs {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.addrs
+}
+
+// Process returns the current process of n.
+func (n *Node) Process() *Process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
+// Server returns the current backend server of n, or nil without one.
+func (n *Node) Server() *Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.server
+}
+
+// Advertised returns the peer address that n tells other nodes, or "" before
+// it is known.
+func (n *Node) Advertised() string {
+	if n.Relay != nil {
+		return n.Relay.Addr()
+	}
+	return n.Addrs().Peer
+}
+
+func (n *Node) startRelay(ctx context.Context) error {
+	r, err := relay.New(relay.Config{Listen: listenAddr, Seed: n.m.cfg.Seed + uint64(n.Index), Source: n.m.sourceOf})
+	if err != nil {
+		return err
+	}
+	n.Relay = r
+	n.m.relays.Go(func() error { return r.Run(ctx) })
+	return nil
+}
+
+// joinCount is the most nodes that a starting node is told to join.
+const joinCount = 3
+
+// Start starts the node, at its earlier addresses if it ran before. The
+// earlier process must have ended.
+func (n *Node) Start(ctx context.Context) error {
+	old := n.Addrs()
+	args := []string{
+		"node",
+		"--zone", string(n.Spec.Zone),
+		"--caller", orListen(old.Caller),
+		"--peer", orListen(old.Peer),
+		"--operator", orListen(old.Operator),
+		"--backend", orListen(old.Backend),
+		"--table-url", "http://" + n.m.Platform.Table,
+		"--object-url", "http://" + n.m.Platform.Object,
+	}
+	if n.Relay != nil {
+		args = append(args, "--advertise", n.Relay.Addr())
+	}
+	joins := 0
+	for _, o := range n.m.Nodes {
+		if a := o.Advertised(); o != n && a != "" && o.Process() != nil && joins < joinCount {
+			args = append(args, "--join", a)
+			joins++
+		}
+	}
+	var addrs Addrs
+	p, err := n.m.run(ctx, n.Name, &addrs, n.m.bin.Node, append(args, n.Spec.NodeArgs...)...)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.addrs, n.process = addrs, p
+	n.mu.Unlock()
+	if n.Relay != nil {
+		return n.Relay.SetTarget(addrs.Peer)
+	}
+	return nil
+}
+
+func orListen(addr string) string {
+	if addr == "" {
+		return listenAddr
+	}
+	return addr
+}
+
+// startBoth starts the node and its backend server.
+func (n *Node) startBoth(ctx context.Context) error {
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	if n.Spec.Service == "" {
+		return nil
+	}
+	return n.StartServer(ctx)
+}
+
+// Replace kills the node and its backend server and starts both again, as a
+// replaced VM at the same addresses.
+func (n *Node) Replace(ctx context.Context) error {
+	if err := n.KillBoth(); err != nil {
+		return err
+	}
+	return n.startBoth(ctx)
+}
+
+// KillBoth kills the node and its backend server.
+func (n *Node) KillBoth() error {
+	if err := n.Process().Kill(); err != nil {
+		return err
+	}
+	if s := n.Server(); s != nil {
+		return s.Kill()
+	}
+	return nil
+}
+
+// Vars decodes the counters of the node at /debug/vars.
+func (n *Node) Vars(ctx context.Context) (map[string]any, error) {
+	var v map[string]any
+	return v, getJSON(ctx, "http://"+n.Addrs().Operator+"/debug/vars", &v)
+}
+
+// Get decodes the response of the operator API to GET path into v.
+func (n *Node) Get(ctx context.Context, path string, v any) error {
+	return getJSON(ctx, "http://"+n.Addrs().Operator+path, v)
+}
+
+// Server is a running backend stand-in.
+type Server struct {
+	*Process
+	Addr    string `json:"addr"`
+	Control string `json:"control"`
+	Journal string `json:"-"` // path of the journal file
+}
+
+// StartServer starts the backend server of n. An earlier one must have ended.
+func (n *Node) StartServer(ctx context.Context) error {
+	a := n.Addrs()
+	n.mu.Lock()
+	n.starts++
+	name := fmt.Sprintf("server-%d.%d", n.Index, n.starts)
+	n.mu.Unlock()
+	s := &Server{Journal: filepath.Join(n.m.Dir, name+".journal")}
+	args := []string{
+		"backend",
+		"--service", string(n.Spec.Service),
+		"--listen", listenAddr,
+		"--node", a.Backend,
+		"--caller", a.Caller,
+		"--journal", s.Journal,
+		"--seed", fmt.Sprint(n.m.cfg.Seed + uint64(n.Index)),
+	}
+	p, err := n.m.run(ctx, name, s, n.m.bin.Standin, append(args, n.Spec.ServerArgs...)...)
+	if err != nil {
+		return err
+	}
+	s.Process = p
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.server = s
+	return nil
+}
+
+// SetBehavior replaces the behaviour of the backend server.
+func (s *Server) SetBehavior(ctx context.Context, b backend.Behavior) error {
+	return postJSON(ctx, "http://"+s.Control+"/control", b)
+}
+
+// Status returns the state and counters of the backend server.
+func (s *Server) Status(ctx context.Context) (backend.Status, error) {
+	var st backend.Status
+	return st, getJSON(ctx, "http://"+s.Control+"/control", &st)
+}
--- /dev/null
+++ b/internal/trial/process.go
@@ -0,0 +1,171 @@
+package trial
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// readyTimeout bounds the wait for the line that a process prints when its
+// listeners are up.
+const readyTimeout = 20 * time.Second
+
+// Process is a child process.
+type Process struct {
+	Name string
+	Log  string // path of the file with its output
+
+	cmd  *exec.Cmd
+	done chan struct{} // closed when it ended
+	err  error         // of Wait, set before done is closed
+}
+
+// starts runs the starts of all processes on one operating system thread that
+// never ends. A child is killed when the thread that started it ends, so that
+// no child outlives this process even if it is killed.
+var starts = sync.OnceValue(func() chan<- func() {
+	c := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range c {
+			f()
+		}
+	}()
+	return c
+})
+
+func startCommand(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	err := make(chan error)
+	starts() <- func() { err <- cmd.Start() }
+	return <-err
+}
+
+// start starts a program and decodes the JSON line that it prints when it is
+// ready into addrs.
+func start(ctx context.Context, name, logPath string, env []string, addrs any, path string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(path, args...)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stderr = log
+	r, w, err := os.Pipe()
+	if err != nil {
+		_ = log.Close()
+		return nil, err
+	}
+	cmd.Stdout = w
+	err = startCommand(cmd)
+	_ = w.Close()
+	if err != nil {
+		_, _ = log.Close(), r.Close()
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	p := &Process{Name: name, Log: logPath, cmd: cmd, done: make(chan struct{})}
+	line := make(chan []byte, 1)
+	output := make(chan struct{})
+	go func() {
+		defer close(output)
+		br := bufio.NewReader(r)
+		b, _ := br.ReadBytes('\n')
+		line <- b
+		_, _ = io.Copy(log, br)
+	}()
+	go func() {
+		p.err = cmd.Wait()
+		<-output
+		_, _ = log.Close(), r.Close()
+		close(p.done)
+	}()
+	if err := p.ready(ctx, line, addrs); err != nil {
+		_ = p.Kill()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Process) ready(ctx context.Context, line <-chan []byte, addrs any) error {
+	t := time.NewTimer(readyTimeout)
+	defer t.Stop()
+	select {
+	case b := <-line:
+		if err := json.Unmarshal(b, addrs); err != nil {
+			return fmt.Errorf("%s did not print its addresses: %w\n%s", p.Name, err, p.Tail())
+		}
+		return nil
+	case <-t.C:
+		return fmt.Errorf("%s was not ready after %v\n%s", p.Name, readyTimeout, p.Tail())
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// tailSize is the length of the part of a log that Tail returns, in bytes.
+const tailSize = 4 << 10
+
+// Tail returns the end of the log.
+func (p *Process) Tail() string {
+	b, err := os.ReadFile(p.Log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-tailSize):])
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Signal sends s. It returns os.ErrProcessDone if the process has ended.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Kill sends SIGKILL and waits for the end. It returns nil if the process had
+// ended before.
+func (p *Process) Kill() error {
+	select {
+	case <-p.done:
+		return nil
+	default:
+	}
+	err := p.Signal(syscall.SIGKILL)
+	if err != nil && err != os.ErrProcessDone { //nolint:errorlint // returned as is
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Freeze stops the process with SIGSTOP; Resume continues it.
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+
+// Resume continues a frozen process with SIGCONT.
+func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
+
+// Stop sends SIGTERM and waits for the end. It returns an error if the process
+// ends with a code other than 0 or not before ctx ends.
+func (p *Process) Stop(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("stop %s: %w", p.Name, err)
+	}
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return fmt.Errorf("stop %s: %w\n%s", p.Name, ctx.Err(), p.Tail())
+	}
+	if p.err != nil {
+		return fmt.Errorf("stop %s: %w\n%s", p.Name, p.err, p.Tail())
+	}
+	return nil
+}
