--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -29,22 +29,31 @@
 	return mux
 }
 
-func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	status := http.StatusOK
+// reported returns the health, as an HTTP status, and the load that the server
+// reports, which may both be untrue.
+func (s *Server) reported() (health int, load float64) {
+	b := s.behavior()
+	health = http.StatusOK
 	if s.State() != Ready {
-		status = http.StatusServiceUnavailable
+		health = http.StatusServiceUnavailable
 	}
-	if h := s.behavior().Health; h != 0 {
-		status = h
+	if b.Health != 0 {
+		health = b.Health
 	}
+	load = float64(s.running.Load()) / float64(s.cfg.Slots)
+	if b.Load != nil {
+		load = *b.Load
+	}
+	return health, load
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	status, _ := s.reported()
 	w.WriteHeader(status)
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	load := float64(s.running.Load()) / float64(s.cfg.Slots)
-	if l := s.behavior().Load; l != nil {
-		load = *l
-	}
+	_, load := s.reported()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]float64{"load": load})
 }
