--- a/internal/standin/backend/announce.go
+++ b/internal/standin/backend/announce.go
@@ -31,8 +31,8 @@
 	Slots       int          `json:"slots"`
 	Connections int          `json:"connections"`
 	State       State        `json:"state"`
-	Health      string       `json:"health"` // "ok", or another word
-	Load        float64      `json:"load"`   // share of slots in use
+	Health      string       `json:"health"` // path of the health endpoint
+	Load        string       `json:"load"`   // path of the load endpoint
 }
 
 const (
@@ -68,15 +68,14 @@
 	if s.cfg.Node == "" || s.behavior().Silent {
 		return nil
 	}
-	health, load := s.reported()
 	b, err := json.Marshal(Announcement{
 		Service:     s.cfg.Service,
 		Addr:        mesh.Addr(s.Addr()),
 		Slots:       s.cfg.Slots,
 		Connections: s.cfg.Connections,
 		State:       s.State(),
-		Health:      healthWord(health),
-		Load:        load,
+		Health:      healthPath,
+		Load:        loadPath,
 	})
 	if err != nil {
 		return err
@@ -84,13 +83,6 @@
 	return s.tell(ctx, http.MethodPost, b)
 }
 
-func healthWord(status int) string {
-	if status/100 == 2 {
-		return "ok"
-	}
-	return "failing"
-}
-
 // withdraw tells the node that the server is gone.
 func (s *Server) withdraw(ctx context.Context) error {
 	if s.cfg.Node == "" {
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -29,31 +29,22 @@
 	return mux
 }
 
-// reported returns the health, as an HTTP status, and the load that the server
-// reports, which may both be untrue.
-func (s *Server) reported() (health int, load float64) {
-	b := s.behavior()
-	health = http.StatusOK
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusOK
 	if s.State() != Ready {
-		health = http.StatusServiceUnavailable
+		status = http.StatusServiceUnavailable
 	}
-	if b.Health != 0 {
-		health = b.Health
+	if h := s.behavior().Health; h != 0 {
+		status = h
 	}
-	load = float64(s.running.Load()) / float64(s.cfg.Slots)
-	if b.Load != nil {
-		load = *b.Load
-	}
-	return health, load
-}
-
-func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	status, _ := s.reported()
 	w.WriteHeader(status)
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	_, load := s.reported()
+	load := float64(s.running.Load()) / float64(s.cfg.Slots)
+	if l := s.behavior().Load; l != nil {
+		load = *l
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]float64{"load": load})
 }
