Give claim rows a write budget that the gates share

Claims used the general write budget of a node, 2 writes/s, which is meant for the rows that nodes write at start and at leave. A larger fixed budget was ruled out: with hundreds of gates it would exceed the 300 writes/s of the platform, so each gate takes its part of 150 writes/s by the number of gates that claims lead to.

--- /dev/null
+++ b/internal/node/claim_test.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+)
+
+// TestClaimShare guards against gates that together write more claims than the
+// platform has room for, and against gates that get less than their part.
+func TestClaimShare(t *testing.T) {
+	s := &config.Snapshot{Routes: []config.Route{{Service: "reservasi", Claim: true}, {Service: "katalog"}}}
+	ms := []member.Member{
+		{ID: "a", Service: "reservasi"}, {ID: "b", Service: "reservasi", Status: member.Suspect},
+		{ID: "c", Service: "reservasi", Status: member.Dead}, {ID: "d", Service: "katalog"},
+	}
+	require.Equal(t, rate.Limit(75), claimShare(s, ms))
+	require.Equal(t, rate.Limit(150), claimShare(s, nil))
+	require.Equal(t, rate.Limit(150), claimShare(nil, ms))
+}
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -48,6 +48,11 @@
 	return operation{name: name, budget: c.budgets.writes, refusal: "write_budget", effect: true, repeat: repeat}
 }
 
+// claimWrite is a write on the budget of claim rows.
+func (c *Client) claimWrite(name string) operation {
+	return operation{name: name, budget: c.budgets.claims, refusal: "claim_budget", effect: true, repeat: true}
+}
+
 // outcome says what became of one request.
 type outcome string
 
--- a/internal/platform/claim.go
+++ b/internal/platform/claim.go
@@ -36,7 +36,7 @@
 	i[ownerName] = text(owner)
 	i[stateName] = text(claimHeld)
 	i[expiryName] = number(milliseconds(expiry))
-	err := c.do(ctx, c.write("put_claim", true), func(ctx context.Context) error {
+	err := c.do(ctx, c.claimWrite("put_claim"), func(ctx context.Context) error {
 		_, err := c.table.PutItem(ctx, &dynamodb.PutItemInput{
 			TableName:                           aws.String(c.names.table),
 			Item:                                i,
@@ -62,7 +62,7 @@
 // longer exists is not an error; releasing that of another owner is one of
 // kind fault.Conflict.
 func (c *Client) ReleaseClaim(ctx context.Context, key, owner string) error {
-	err := c.do(ctx, c.write("delete_claim", true), func(ctx context.Context) error {
+	err := c.do(ctx, c.claimWrite("delete_claim"), func(ctx context.Context) error {
 		_, err := c.table.DeleteItem(ctx, &dynamodb.DeleteItemInput{
 			TableName:                 aws.String(c.names.table),
 			Key:                       newItem(claimPartition, key),
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -32,7 +32,8 @@
 
 	Reads        rate.Limit // table reads per second; 4
 	Writes       rate.Limit // table writes per second, one transaction counting as one; 2
-	Burst        int        // burst of Reads and of Writes; 10
+	Burst        int        // burst of Reads, of Writes and of Claims; 10
+	Claims       rate.Limit // claim rows written and deleted per second; 2, see SetClaimRate
 	Polls        rate.Limit // reads of the head by the reader role per second; 2
 	ObjectReads  rate.Limit // object reads per second; 100
 	ObjectWrites rate.Limit // object writes per second; 8
@@ -47,6 +48,7 @@
 	defaultTimeout      = 2 * time.Second
 	defaultReads        = 4
 	defaultWrites       = 2
+	defaultClaims       = 2
 	defaultBurst        = 10
 	defaultPolls        = 2
 	defaultObjectReads  = 100
@@ -74,7 +76,7 @@
 
 type names struct{ table, bucket string }
 
-type budgets struct{ reads, writes, polls, objectReads, objectWrites *rate.Limiter }
+type budgets struct{ reads, writes, claims, polls, objectReads, objectWrites *rate.Limiter }
 
 // New returns a client for c. It makes no request and reads no environment
 // variable, file or instance metadata.
@@ -109,6 +111,7 @@
 		budgets: budgets{
 			reads:        rate.NewLimiter(cmp.Or(c.Reads, defaultReads), burst),
 			writes:       rate.NewLimiter(cmp.Or(c.Writes, defaultWrites), burst),
+			claims:       rate.NewLimiter(cmp.Or(c.Claims, defaultClaims), burst),
 			polls:        rate.NewLimiter(cmp.Or(c.Polls, defaultPolls), burst),
 			objectReads:  rate.NewLimiter(cmp.Or(c.ObjectReads, defaultObjectReads), objectBurst),
 			objectWrites: rate.NewLimiter(cmp.Or(c.ObjectWrites, defaultObjectWrites), objectBurst),
@@ -126,3 +129,11 @@
 	}
 	return p
 }
+
+// SetClaimRate sets the budget of claim rows to n per second, with a burst of
+// one second. The gates of a fleet share the write rate that the platform has
+// for claims, so a gate's part depends on how many there are.
+func (c *Client) SetClaimRate(n rate.Limit) {
+	c.budgets.claims.SetLimit(n)
+	c.budgets.claims.SetBurst(max(1, int(n)))
+}
