Send small bodies with their header, and copy large ones from a pool

The memory profile of BenchmarkHop showed a 32 KiB buffer allocated for each request: net/http copies a body that it does not know with io.Copy onto the connection. The connection now reads from the body through the buffer pool, and bodies up to 4 KiB are read first and leave in one write with the header.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 )
@@ -34,6 +35,30 @@
 	return n, err
 }
 
+// ReadFrom implements io.ReaderFrom. net/http copies request bodies with it and
+// would otherwise allocate a buffer for each.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	p := buffers.Get().(*[]byte)
+	defer buffers.Put(p)
+	var total int64
+	for {
+		n, rerr := r.Read(*p)
+		if n > 0 {
+			m, err := c.Write((*p)[:n])
+			total += int64(m)
+			if err != nil {
+				return total, err
+			}
+		}
+		if rerr == io.EOF {
+			return total, nil
+		}
+		if rerr != nil {
+			return total, rerr
+		}
+	}
+}
+
 // seal makes all later writes fail, closes the connection and returns the
 // number of bytes that were or may still be written. The count may be too high
 // while a write is failing, never too low.
--- a/internal/hop/request.go
+++ b/internal/hop/request.go
@@ -1,15 +1,20 @@
 package hop
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"sync/atomic"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
+// smallBody is the largest body in bytes that is read before it is sent, so that
+// header and body leave in one write.
+const smallBody = 4 << 10
+
 // body is a request body that net/http can neither recognise as empty nor
 // rewind. net/http replays a request on a broken reused connection only if the
 // body is absent or has GetBody.
@@ -17,14 +22,34 @@
 	io.ReadCloser
 }
 
-// singleUse makes the body of req single-use.
-func singleUse(req *http.Request) {
+// singleUse makes the body of req single-use. It returns an error if a small
+// body cannot be read.
+func singleUse(req *http.Request) error {
 	req.GetBody = nil
-	if req.Body != nil && req.Body != http.NoBody {
+	switch {
+	case req.Body == nil || req.Body == http.NoBody:
+		noBody(req)
+	case req.ContentLength > 0 && req.ContentLength <= smallBody:
+		b := make([]byte, req.ContentLength)
+		_, err := io.ReadFull(req.Body, b)
+		req.Body.Close()
+		if err != nil {
+			return fmt.Errorf("hop: request body: %w", err)
+		}
+		req.Body = inMemory(b)
+	default:
 		req.Body = &body{req.Body}
-		return
 	}
-	req.Body = &body{http.NoBody}
+	return nil
+}
+
+// inMemory returns a single-use body that net/http sends together with the
+// header. It knows such bodies by this type; being no http.NoBody, even an empty
+// one is not replayed.
+func inMemory(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
+
+func noBody(req *http.Request) {
+	req.Body = inMemory(nil)
 	req.ContentLength = 0
 	switch req.Method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch:
@@ -97,19 +122,3 @@
 		in.Body = http.MaxBytesReader(w, in.Body, maxBody)
 	}
 }
-
-// CountedBody counts the bytes read from a request body.
-type CountedBody struct {
-	io.ReadCloser
-	n atomic.Int64
-}
-
-// Read implements io.Reader.
-func (b *CountedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.n.Add(int64(n))
-	return n, err
-}
-
-// Count returns the number of bytes read so far.
-func (b *CountedBody) Count() int64 { return b.n.Load() }
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -115,12 +115,14 @@
 // Sent is MayHaveRun.
 //
 // The body of req is wrapped, so that net/http cannot replay it; req must not
-// be used again.
+// be used again. A body of at most 4 KiB is read before anything is sent.
 func (t *Transport) RoundTrip(ctx context.Context, req *http.Request) (*http.Response, Sent, error) {
 	var use usage
 	trace := &httptrace.ClientTrace{GotConn: use.got}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
-	singleUse(req)
+	if err := singleUse(req); err != nil {
+		return nil, NothingSent, err
+	}
 	resp, err := t.base.RoundTrip(req)
 	if err != nil {
 		return nil, use.seal(), err
