Test the gate under faults of the backend server

A backend server that refuses, closes, freezes, cuts its answer short or answers another request must never lead to a false "not run". Short responses are read before their header is passed on, so that a cut becomes outcome_unknown instead of an aborted answer. Small request bodies are read before admission, since a slow caller would otherwise hold a slot; failures of the caller's own body are told apart from failures of the backend server, which make it unhealthy.

--- /dev/null
+++ b/internal/backend/fault_test.go
@@ -0,0 +1,247 @@
+package backend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// faulty is a backend server whose connections are handled by serve.
+func faulty(t testing.TB, serve func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(r *bufio.Reader) {
+	if req, err := http.ReadRequest(r); err == nil {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
+}
+
+// respond returns a backend server that reads a request, writes answer and
+// closes.
+func respond(t testing.TB, answer string) string {
+	return faulty(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, answer)
+	})
+}
+
+// TestRunState guards against a false "not run" and against a needless
+// "unknown" under each fault of the backend server.
+func TestRunState(t *testing.T) {
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refusing.Close()
+	frozen := faulty(t, func(c net.Conn, r *bufio.Reader) { readRequest(r); _, _ = io.Copy(io.Discard, c) })
+	for _, c := range []struct {
+		name string
+		addr string
+		kind fault.Kind
+		run  fault.Run
+	}{
+		{"refuses connections", refusing.Addr().String(), fault.NoEndpoint, fault.NotRun},
+		{"closes at the first byte", faulty(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.Peek(1) }), fault.OutcomeUnknown, fault.Unknown},
+		{"closes after reading", faulty(t, func(_ net.Conn, r *bufio.Reader) { readRequest(r) }), fault.OutcomeUnknown, fault.Unknown},
+		{"freezes", frozen, fault.DeadlineExceeded, fault.Unknown},
+		{"cuts the header", respond(t, "HTTP/1.1 200 OK\r\nContent-Le"), fault.OutcomeUnknown, fault.Unknown},
+		{"cuts a short body", respond(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"), fault.OutcomeUnknown, fault.Unknown},
+		{"answers another request", respond(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+mesh.RequestHeader+": other\r\n\r\n"), fault.OutcomeUnknown, fault.Unknown},
+		{"switches protocols", respond(t, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"), fault.OutcomeUnknown, fault.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, c.addr, nil)
+			send(t, r.request(t, http.MethodPost, "seat", 200*time.Millisecond)).requireRefusal(t, c.kind, c.run)
+			require.Zero(t, r.Status().InFlight)
+		})
+	}
+}
+
+// TestCloseAtOnce guards the run state when the backend server closes each
+// connection without reading. The close is seen before or after the request is
+// written, so both states occur, but "not run" only if nothing was written.
+func TestCloseAtOnce(t *testing.T) {
+	received := make(chan int64, 1)
+	addr := faulty(t, func(c net.Conn, _ *bufio.Reader) {
+		_ = c.(*net.TCPConn).CloseWrite() // the gate sees the end, writes still arrive
+		n, _ := io.Copy(io.Discard, c)
+		received <- n
+	})
+	r := newRig(t, addr, nil)
+	for range 50 {
+		r.revive()
+		p := send(t, r.request(t, http.MethodPost, "seat", time.Second))
+		if n := <-received; n > 0 {
+			p.requireRefusal(t, fault.OutcomeUnknown, fault.Unknown)
+		}
+	}
+}
+
+// revive forgets the connection failures of the endpoint.
+func (r *rig) revive() {
+	r.mu.Lock()
+	r.endpoint.failures, r.endpoint.failed = 0, false
+	r.mu.Unlock()
+}
+
+// TestAborted guards against a long body that was cut short or a deadline
+// within it that ends as a complete answer.
+func TestAborted(t *testing.T) {
+	for name, addr := range map[string]string{
+		"cut":     respond(t, "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\nabc"),
+		"chunked": respond(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+		"frozen": faulty(t, func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\nabc")
+			_, _ = io.Copy(io.Discard, c)
+		}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, addr, nil)
+			resp, err := http.DefaultClient.Do(r.request(t, http.MethodGet, "", 200*time.Millisecond))
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				resp.Body.Close()
+			}
+			require.Error(t, err)
+			require.Eventually(t, func() bool { return r.Status().InFlight == 0 }, time.Second, time.Millisecond)
+			require.Equal(t, "1", r.metrics.Counter("gate_aborted").String())
+		})
+	}
+}
+
+// TestBackendRefusal guards the backend server's own refusals: only a 503 that
+// says not run counts as one, and no other answer can look like one.
+func TestBackendRefusal(t *testing.T) {
+	for _, c := range []struct {
+		status   int
+		run      fault.Run
+		kind     string
+		wantKind string
+	}{
+		{503, fault.NotRun, "", "overloaded"},
+		{503, fault.NotRun, "draining", "draining"},
+		{503, "", "", ""},
+		{503, fault.Unknown, "overloaded", ""},
+		{200, fault.NotRun, "overloaded", ""},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(fault.RunHeader, string(c.run))
+			w.Header().Set(fault.KindHeader, c.kind)
+			w.WriteHeader(c.status)
+			_, _ = io.WriteString(w, "busy")
+		}))
+		p := send(t, newRig(t, s.Listener.Addr().String(), nil).request(t, http.MethodPost, "", time.Second))
+		s.Close()
+		require.Equal(t, c.status, p.status)
+		require.Equal(t, "busy", p.body)
+		require.Equal(t, c.wantKind, p.header.Get(fault.KindHeader))
+		require.Equal(t, c.wantKind != "", p.header.Get(fault.RunHeader) == string(fault.NotRun))
+	}
+}
+
+// TestUnhealthy guards against an endpoint that stays ready although nothing
+// can connect to it, or unhealthy although it is back.
+func TestUnhealthy(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	states := make(chan member.EndpointState, 10)
+	r := newRig(t, addr, func(c *Config) {
+		c.OnEndpoint = func(s mesh.Service, slots int, state member.EndpointState) {
+			require.Equal(t, mesh.Service("reservasi"), s)
+			require.Equal(t, 20, slots)
+			states <- state
+		}
+	})
+	end := make(chan error, 1)
+	go func() { end <- r.Run(t.Context()) }()
+	require.Equal(t, member.Ready, <-states)
+	for range failureLimit {
+		send(t, r.request(t, http.MethodPost, "", time.Second)).requireRefusal(t, fault.NoEndpoint, fault.NotRun)
+	}
+	require.Equal(t, member.Unhealthy, <-states)
+	require.Equal(t, http.StatusOK, r.announce(t, announcement(addr)).Code)
+	require.Equal(t, member.Unhealthy, r.Status().State, "an announcement is trusted over failures")
+	l, err = net.Listen("tcp", addr)
+	require.NoError(t, err)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Listener.Close()
+	s.Listener = l
+	s.Start()
+	defer s.Close()
+	require.Equal(t, member.Ready, <-states)
+	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Second)).status)
+}
+
+// TestCancel guards against work that goes on after its caller went away.
+func TestCancel(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	defer s.Close()
+	r := newRig(t, s.Listener.Addr().String(), nil)
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	require.NoError(t, err)
+	require.NoError(t, r.request(t, http.MethodGet, "", time.Minute).Write(c))
+	<-started
+	c.Close()
+	<-ended
+	require.Eventually(t, func() bool { return r.Status().InFlight == 0 }, time.Second, time.Millisecond)
+}
+
+// TestLimits guards against bodies above the limit that reach the backend
+// server complete, and against requests that the gate cannot read.
+func TestLimits(t *testing.T) {
+	var complete atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			complete.Add(1)
+		}
+	}))
+	defer s.Close()
+	r := newRig(t, s.Listener.Addr().String(), func(c *Config) { c.MaxBody = 10_000 })
+	big := strings.Repeat("x", 10_001)
+	send(t, r.request(t, http.MethodPost, big, time.Second)).requireRefusal(t, fault.BodyTooLarge, fault.NotRun)
+	req := r.request(t, http.MethodPost, big, time.Second)
+	req.ContentLength = -1
+	send(t, req).requireRefusal(t, fault.BodyTooLarge, fault.Unknown)
+	require.Zero(t, complete.Load())
+	for header, value := range map[string]string{mesh.RequestHeader: "", mesh.DeadlineHeader: "soon", "Upgrade": "h2c"} {
+		req := r.request(t, http.MethodPost, "", time.Second)
+		req.Header.Set(header, value)
+		send(t, req).requireRefusal(t, fault.BadRequest, fault.NotRun)
+	}
+	send(t, r.request(t, http.MethodPost, "", 0)).requireRefusal(t, fault.DeadlineExceeded, fault.NotRun)
+}
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -47,7 +47,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	hop.LimitBody(w, r, g.conf.MaxBody)
+	if e := g.readBody(w, r, c); e != nil {
+		g.refuse(w, c, e)
+		return
+	}
 	cl, e := g.claim(ctx, c, r)
 	switch {
 	case e != nil:
@@ -74,11 +77,23 @@
 	if e != nil {
 		return e
 	}
-	defer resp.Body.Close()
+	defer func() { resp.Body.Close() }()
+	if err := hop.ReadSmallResponse(resp); err != nil {
+		return g.cutShort(ctx, err)
+	}
 	g.answer(w, c, resp)
 	return nil
 }
 
+// cutShort returns the refusal of a request whose response body broke off
+// before any of it was passed on.
+func (g *Gate) cutShort(ctx context.Context, err error) *fault.Error {
+	if ctx.Err() != nil {
+		return endOf(ctx.Err(), fault.Unknown)
+	}
+	return fault.Newf(fault.OutcomeUnknown, "backend server: %w", err)
+}
+
 // runClaimed is run for a request that holds a claim.
 func (g *Gate) runClaimed(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, cl *claim) {
 	// Also ends the claim when answer panics because the body was cut short.
@@ -109,6 +124,28 @@
 	_, _ = w.Write(s.body)
 }
 
+// bodyGrace is the time after its deadline at which a request body that is still
+// being read ends. It lets the deadline itself come first.
+const bodyGrace = 100 * time.Millisecond
+
+// readBody reads a small request body before admission, so that a slow caller
+// holds no slot, and bounds the time and the size of a larger one.
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	// Recorders of tests have no connection to set a deadline on.
+	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline.Add(bodyGrace))
+	hop.LimitBody(w, r, g.conf.MaxBody)
+	if err := hop.ReadSmall(r); err != nil {
+		if time.Now().After(c.Deadline) {
+			return endOf(context.DeadlineExceeded, fault.NotRun)
+		}
+		return fault.Newf(fault.BadRequest, "request body: %w", err)
+	}
+	return nil
+}
+
 // newCall reads the headers of a forwarded request.
 func (g *Gate) newCall(r *http.Request) (*call, *fault.Error) {
 	h := r.Header
@@ -300,6 +337,8 @@
 		return fault.Newf(fault.BodyTooLarge, "limit is %d bytes", big.Limit).WithRun(run)
 	case ctx.Err() != nil:
 		return endOf(ctx.Err(), run)
+	case errors.Is(err, hop.ErrBody):
+		return fault.Newf(fault.Canceled, "the caller broke off: %w", err).WithRun(run)
 	}
 	g.connectionFailed(c.endpoint)
 	g.log.Debug("connection to the backend server failed", zap.Error(err), zap.String("run", string(run)))
--- a/internal/hop/request.go
+++ b/internal/hop/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,24 +23,57 @@
 	io.ReadCloser
 }
 
+// ErrBody is in the chain of errors that came from reading a request body, as
+// opposed to sending it.
+var ErrBody = errors.New("hop: request body")
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = fmt.Errorf("%w: %w", ErrBody, err)
+	}
+	return n, err
+}
+
 // singleUse makes the body of req single-use. It returns an error if a small
 // body cannot be read.
 func singleUse(req *http.Request) error {
 	req.GetBody = nil
-	switch {
-	case req.Body == nil || req.Body == http.NoBody:
+	switch req.Body {
+	case nil, http.NoBody:
 		noBody(req)
-	case req.ContentLength > 0 && req.ContentLength <= smallBody:
-		b := make([]byte, req.ContentLength)
-		_, err := io.ReadFull(req.Body, b)
-		req.Body.Close()
-		if err != nil {
-			return fmt.Errorf("hop: request body: %w", err)
-		}
-		req.Body = inMemory(b)
 	default:
-		req.Body = &body{req.Body}
+		if err := ReadSmall(req); err != nil {
+			return err
+		}
+		if s, ok := req.Body.(*small); ok {
+			req.Body = s.ReadCloser
+		} else {
+			req.Body = &body{req.Body}
+		}
+	}
+	return nil
+}
+
+// small is a body that was read into memory.
+type small struct {
+	io.ReadCloser
+}
+
+// ReadSmall reads the body of req into memory if its declared length is at most
+// 4 KiB, so that a slow caller holds up nothing behind it.
+func ReadSmall(req *http.Request) error {
+	if _, ok := req.Body.(*small); ok || req.ContentLength <= 0 || req.ContentLength > smallBody {
+		return nil
+	}
+	b := make([]byte, req.ContentLength)
+	_, err := io.ReadFull(req.Body, b)
+	req.Body.Close()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrBody, err)
 	}
+	req.Body = &small{inMemory(b)}
 	return nil
 }
 
--- a/internal/hop/response.go
+++ b/internal/hop/response.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -63,6 +64,9 @@
 // With flush each part is flushed as it arrives. Errors of src are in the chain
 // of the error together with ErrRead; other errors come from w.
 func CopyBody(w http.ResponseWriter, src io.Reader, flush bool) (int64, error) {
+	if s, ok := src.(*pooled); ok {
+		return s.WriteTo(w)
+	}
 	p := buffers.Get().(*[]byte)
 	defer buffers.Put(p)
 	var flusher *http.ResponseController
@@ -93,6 +97,47 @@
 	}
 }
 
+// pooled is a response body that was read into a pooled buffer.
+type pooled struct {
+	bytes.Reader
+	buffer *[]byte
+}
+
+// Close returns the buffer to the pool.
+func (p *pooled) Close() error {
+	p.release()
+	return nil
+}
+
+func (p *pooled) release() {
+	if p.buffer != nil {
+		p.Reset(nil)
+		buffers.Put(p.buffer)
+		p.buffer = nil
+	}
+}
+
+// ReadSmallResponse reads the body of resp into memory if its declared length
+// is at most 32 KiB. An error, which has ErrRead in its chain, means that the
+// body was cut short; nothing has been passed on at that point, so the caller
+// can still be told.
+func ReadSmallResponse(resp *http.Response) error {
+	n := resp.ContentLength
+	if n <= 0 || n > bufferSize || resp.Body == http.NoBody {
+		return nil
+	}
+	p := &pooled{buffer: buffers.Get().(*[]byte)}
+	_, err := io.ReadFull(resp.Body, (*p.buffer)[:n])
+	resp.Body.Close()
+	if err != nil {
+		p.release()
+		return fmt.Errorf("%w: %w", ErrRead, err)
+	}
+	p.Reset((*p.buffer)[:n])
+	resp.Body = p
+	return nil
+}
+
 // CopyTrailer sets the trailers of resp, whose body must have been read to its
 // end, on w.
 func CopyTrailer(w http.ResponseWriter, resp *http.Response) {
