--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -103,10 +103,14 @@
 	if err := d.Decode(&a); err != nil {
 		return nil, decodeFault(err)
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+	switch _, err := d.Token(); {
+	case errors.Is(err, io.EOF):
+		return a, nil
+	case errors.As(err, new(*http.MaxBytesError)):
+		return nil, decodeFault(err)
+	default:
 		return nil, fault.New(fault.BadRequest, "announcement: data after the JSON object")
 	}
-	return a, nil
 }
 
 func decodeFault(err error) error {
