Make the test of a wrong service reach a backend server

The test passed without its guard, because the request was refused by a closed port with the same error. It now fails when the gate forwards the request.

--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -155,7 +155,9 @@
 // TestWrongService guards against a request that reaches the backend server of
 // another service.
 func TestWrongService(t *testing.T) {
-	r := newRig(t, "127.0.0.1:9", nil)
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("request reached the backend server") }))
+	defer s.Close()
+	r := newRig(t, s.Listener.Addr().String(), nil)
 	req := r.request(t, http.MethodPost, "", time.Second)
 	req.Header.Set(mesh.ServiceHeader, "katalog")
 	send(t, req).requireRefusal(t, fault.NoEndpoint, fault.NotRun)
