Bound the time that a stalled caller can hold a slot

A caller that stops reading its response blocked the copy beyond the deadline, because ending the context does not end a write. Each request now sets write and read deadlines on its connection shortly after its own; TestStalledCaller fails without the write deadline.

--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -37,10 +37,12 @@
 	slots       int
 	connections int
 	announced   member.EndpointState // as the backend server says
-	expires     time.Time            // end of the lease
-	lapsed      bool                 // the lease ended
-	failures    int                  // consecutive connection failures
-	failed      bool                 // failureLimit was reached
+	health      string               // as the backend server says, not trusted
+	load        float64
+	expires     time.Time // end of the lease
+	lapsed      bool      // the lease ended
+	failures    int       // consecutive connection failures
+	failed      bool      // failureLimit was reached
 	probing     bool
 	probeAt     time.Time
 	probeDelay  time.Duration
@@ -71,9 +73,10 @@
 		g.closePools()
 		*e = backendServer{service: a.Service, addr: a.Addr, connections: a.Connections}
 		e.pools = g.newPools(a)
+		g.machine.Restart(now) // another process, which starts cold
 		g.log.Info("backend server announced", zap.String("service", string(a.Service)), zap.String("addr", string(a.Addr)))
 	}
-	e.slots, e.announced = a.Slots, state
+	e.slots, e.announced, e.health, e.load = a.Slots, state, a.Health, a.Load
 	e.expires, e.lapsed = now.Add(g.conf.Lease), false
 	g.applySnapshot(now)
 	g.decide(g.machine.SetSlots(now, a.Slots))
--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -221,6 +221,33 @@
 	require.Eventually(t, func() bool { return r.Status().InFlight == 0 }, time.Second, time.Millisecond)
 }
 
+// TestStalledCaller guards a slot against a caller that stops reading its
+// response or writing its request.
+func TestStalledCaller(t *testing.T) {
+	long := strings.Repeat("x", 32<<20)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, long)
+	}))
+	defer s.Close()
+	r := newRig(t, s.Listener.Addr().String(), nil)
+	for _, length := range []string{"0", "5", "50000"} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+		require.NoError(t, err)
+		defer c.Close()
+		req := r.request(t, http.MethodPost, "", 300*time.Millisecond)
+		var head strings.Builder
+		require.NoError(t, req.Header.Write(&head))
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "+length+"\r\n"+head.String()+"\r\n")
+		require.NoError(t, err)
+		if length != "5" { // a small body is read before admission
+			require.Eventually(t, func() bool { return r.Status().InFlight == 1 }, time.Second, time.Millisecond, length)
+		}
+		require.Eventually(t, func() bool { return r.Status().InFlight == 0 }, 2*time.Second, time.Millisecond, length)
+	}
+	require.Equal(t, member.Ready, r.Status().State, "callers' faults were counted against the backend server")
+}
+
 // TestLimits guards against bodies above the limit that reach the backend
 // server complete, and against requests that the gate cannot read.
 func TestLimits(t *testing.T) {
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -168,6 +168,8 @@
 	InFlight int
 	Queued   int
 	Draining bool
+	Health   string  // as the backend server says
+	Load     float64 // as the backend server says
 	Pressure []admit.RankPressure
 }
 
@@ -185,6 +187,8 @@
 		InFlight: g.machine.InFlight(),
 		Queued:   g.machine.Queued(),
 		Draining: g.machine.Draining(),
+		Health:   g.endpoint.health,
+		Load:     g.endpoint.load,
 		Pressure: g.machine.Pressure(now, nil),
 	}
 }
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -38,6 +38,10 @@
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	c, e := g.newCall(r)
+	// Without it a caller that stops reading would hold its slot for ever. It is
+	// set for every request, since net/http keeps it for the next one of the
+	// connection. Recorders of tests have no connection to set it on.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(bodyGrace))
 	if e == nil {
 		e = hop.Check(r, g.conf.MaxBody)
 	}
@@ -124,8 +128,9 @@
 	_, _ = w.Write(s.body)
 }
 
-// bodyGrace is the time after its deadline at which a request body that is still
-// being read ends. It lets the deadline itself come first.
+// bodyGrace is the time after its deadline at which a body that is still being
+// read from or written to the caller ends. It lets the deadline itself come
+// first.
 const bodyGrace = 100 * time.Millisecond
 
 // readBody reads a small request body before admission, so that a slow caller
@@ -134,7 +139,6 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
-	// Recorders of tests have no connection to set a deadline on.
 	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline.Add(bodyGrace))
 	hop.LimitBody(w, r, g.conf.MaxBody)
 	if err := hop.ReadSmall(r); err != nil {
@@ -158,6 +162,7 @@
 	c.Rank = mesh.Rank(h.Get(mesh.RankHeader))
 	c.Account = mesh.ClientAccount(h.Get(mesh.AccountHeader))
 	c.Data = c
+	c.Deadline = time.Now().Add(g.conf.MaxDeadline)
 	if c.id == "" {
 		return c, fault.Newf(fault.BadRequest, "header %s is missing", mesh.RequestHeader)
 	}
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -89,6 +89,12 @@
 	return max(1, int(v))
 }
 
+// restart forgets the adapted limit and starts the ramp.
+func (l *limiter) restart(now time.Duration) {
+	l.started, l.updated = now, now
+	l.value, l.restore, l.phase, l.doubted = float64(l.slots), 0, steady, false
+}
+
 // setSlots changes the announced slots and keeps the share of them in use.
 func (l *limiter) setSlots(n int) {
 	n = max(n, 1)
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -177,11 +177,11 @@
 	return m.decided
 }
 
-// Restart ends draining and starts a new ramp, for a backend server that came
-// back.
+// Restart ends draining and starts a new ramp towards all slots, for a backend
+// server that came back.
 func (m *Machine) Restart(now time.Time) {
 	m.draining = false
-	m.limiter.started = m.at(now)
+	m.limiter.restart(m.at(now))
 }
 
 // SetSlots changes the announced slots and returns the tickets that it decided.
--- a/internal/hop/request.go
+++ b/internal/hop/request.go
@@ -49,6 +49,9 @@
 		}
 		if s, ok := req.Body.(*small); ok {
 			req.Body = s.ReadCloser
+			// The body is in hand, so there is no reason to wait for leave to
+			// send it.
+			req.Header.Del("Expect")
 		} else {
 			req.Body = &body{req.Body}
 		}
