Test readers, empty nodes and stopped children of the tree

The paths around a stopped node had no test: a committer that stops before its push, a node that starts while the platform is down, and a subtree whose root is gone.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -70,28 +70,57 @@
 
 // source is a platform in memory.
 type source struct {
-	mu        sync.Mutex
-	down      bool
-	manifests map[mesh.Digest]config.Manifest
-	parts     map[mesh.Digest]config.Part
+	mu       sync.Mutex
+	down     bool
+	version  mesh.Version
+	manifest config.Manifest
+	parts    map[mesh.Digest]config.Part
 }
 
 var errDown = errors.New("platform is down")
 
-func newSource() *source {
-	return &source{manifests: make(map[mesh.Digest]config.Manifest), parts: make(map[mesh.Digest]config.Part)}
+// commit makes version v the head.
+func (s *source) commit(v mesh.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, parts := edit(v, 3)
+	s.version, s.manifest, s.parts = v, m, make(map[mesh.Digest]config.Part)
+	for _, p := range parts {
+		s.parts[p.Digest()] = p
+	}
 }
 
-func (s *source) head(context.Context) (mesh.Version, mesh.Digest, error) {
+func (s *source) Head(context.Context) (mesh.Version, mesh.Digest, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return 0, mesh.Digest{}, errDown
 	}
-	return 0, mesh.Digest{}, nil
+	return s.version, s.manifest.Digest(), nil
+}
+
+func (s *source) Manifest(_ context.Context, d mesh.Digest) (config.Manifest, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || d != s.manifest.Digest() {
+		return config.Manifest{}, errDown
+	}
+	return s.manifest, nil
+}
+
+func (s *source) Part(_ context.Context, d mesh.Digest) (config.Part, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.parts[d]
+	if s.down || !ok {
+		return nil, errDown
+	}
+	return p, nil
 }
 
-func (s *source) source() Source { return Source{Head: s.head} }
+func (s *source) source() Source { return Source{Head: s.Head, Manifest: s.Manifest, Part: s.Part} }
+
+func withSource(s *source) option { return func(c *Config, _ *lossy) { c.Platform = s.source() } }
 
 // testPeer is a running Peer.
 type testPeer struct {
@@ -126,7 +155,7 @@
 		Key:      testKey,
 		Listener: cutListener{l, &udp.cut},
 		Packet:   udp,
-		Platform: newSource().source(),
+		Platform: new(source).source(),
 	}
 	for _, j := range join {
 		c.Join = append(c.Join, j.cfg.Self.Addr)
@@ -261,11 +290,14 @@
 	cut.udp.cut.Store(true)
 	cut.client.CloseIdleConnections()
 	eventually(t, 15*time.Second, func() bool { return alive(ps[0]) == 4 }, "the cut peer is declared dead")
-	publish(t, ps[0], 2)
-	eventually(t, 5*time.Second, allAt(ps[:4], 2), "the others apply the edit")
+	const last = 70 // more versions than deltas are kept
+	for v := mesh.Version(2); v <= last; v++ {
+		publish(t, ps[0], v)
+	}
+	eventually(t, 5*time.Second, allAt(ps[:4], last), "the others apply the edits")
 	require.EqualValues(t, 1, cut.Version())
 	cut.udp.cut.Store(false)
-	eventually(t, 30*time.Second, allAt(ps, 2), "the cut peer catches up")
+	eventually(t, 30*time.Second, allAt(ps, last), "the cut peer catches up")
 	eventually(t, 30*time.Second, func() bool { return alive(ps[0]) == 5 && alive(cut) == 5 }, "views merge")
 }
 
@@ -352,3 +384,54 @@
 	defer p.vmu.Unlock()
 	require.Equal(t, version.Ignore, p.state.Decide(2, 1, true))
 }
+
+// TestReaders guards against an edit whose node stopped between the commit
+// and the push: readers find it on the platform.
+func TestReaders(t *testing.T) {
+	s := new(source)
+	ps := startAll(t, 8, withSource(s))
+	publish(t, ps[0], 1)
+	s.commit(2)
+	eventually(t, 10*time.Second, allAt(ps, 2), "all peers apply the edit")
+	for _, p := range ps {
+		require.Nil(t, p.stats.metrics.ByReason("invariant_broken").Get("version_order"))
+	}
+}
+
+// TestEmptyNode guards against a node that serves before it holds the newest
+// version known to its peers, or never, while the platform is down.
+func TestEmptyNode(t *testing.T) {
+	s := new(source)
+	s.commit(1)
+	ps := startAll(t, 3, withSource(s))
+	eventually(t, 5*time.Second, allAt(ps, 1), "all peers apply the head")
+	eventually(t, 5*time.Second, ps[0].Ready, "ready")
+	s.mu.Lock()
+	s.down = true
+	s.mu.Unlock()
+	alone := start(t, 3, nil, withSource(s))
+	p := start(t, 4, ps[:1], withSource(s))
+	eventually(t, 5*time.Second, func() bool {
+		if p.Ready() {
+			require.EqualValues(t, 1, p.Version())
+		}
+		return p.Ready()
+	}, "a node with peers is ready")
+	require.False(t, alone.Ready())
+	eventually(t, 2*time.Second, func() bool { return alive(ps[2]) == 4 }, "the node is known")
+}
+
+// TestStoppedChildren guards against members below a stopped node in the tree
+// that wait for a probe to learn of an edit.
+func TestStoppedChildren(t *testing.T) {
+	ps := startAll(t, 30)
+	publish(t, ps[0], 1)
+	eventually(t, 5*time.Second, allAt(ps, 1), "all peers apply the first edit")
+	for _, p := range ps[20:] {
+		require.NoError(t, p.stop())
+	}
+	for v := mesh.Version(2); v < 6; v++ {
+		publish(t, ps[v], v)
+		eventually(t, 5*time.Second, allAt(ps[:20], v), "the others apply the edit")
+	}
+}
