Spread the platform reads of nodes that start together

Half of 2,500 nodes may restart at once, and each must ask the platform before it is ready. The first read of the head now waits for a random time that grows with the number of members that started within 15 s, which their incarnations show; a single restart does not wait. A node without a configuration gives its peers 2 s to send one before it reads the platform, and a busy peer no longer sends a joiner to the table.

A delay by the size of the view was weighed and rejected: it would slow every single restart.

--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -26,7 +26,7 @@
 	authWindow = 10 * time.Minute
 	// maxBody is the largest body of a request between nodes: a delta of all
 	// documents.
-	maxBody = 16 << 20
+	maxBody = 8 << 20
 )
 
 // signer signs and checks HTTP requests.
--- a/internal/peer/head.go
+++ b/internal/peer/head.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
+	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/core/version"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -22,11 +24,32 @@
 	// commitWait is the wait for a push before a new head is read from the
 	// platform: a reader may see a commit before its push arrives.
 	commitWait = 200 * time.Millisecond
+	// peersWait is how long a node without a configuration waits for its peers
+	// to send one before it reads the platform.
+	peersWait = 2 * time.Second
+	// joinWait bounds the wait for the first attempt to join.
+	joinWait = time.Second
+	// startRate is the number of nodes that started lately for which the first
+	// read of the head is spread over one second. When half of 2,500 nodes
+	// restart, their reads stay near 10% of the 2,000 reads/s of the platform.
+	startRate = 75
+	// startWindow is the age up to which a node has started lately.
+	startWindow = 15 * time.Second
+	startLimit  = 20 * time.Second
 )
 
 // readHead reads the platform's head: on every node until the node is ready,
 // after a pause, and each second on the readers of an availability zone.
 func (p *Peer) readHead(ctx context.Context) error {
+	select { // the view is empty before the first attempt to join
+	case <-p.attempted:
+	case <-time.After(joinWait):
+	case <-ctx.Done():
+		return nil
+	}
+	if sleep(ctx, p.startWait(time.Now())) != nil {
+		return nil
+	}
 	failures := 0
 	due := true // a read is due on this node although it is no reader
 	for {
@@ -57,6 +80,21 @@
 	}
 }
 
+// startWait returns a random wait before the first read of the head, which
+// grows with the number of nodes that started lately. Incarnations start at
+// the clock of a node in milliseconds, so the view shows when nodes started.
+func (p *Peer) startWait(now time.Time) time.Duration {
+	n := 0
+	for _, m := range p.members() {
+		age := now.Sub(time.UnixMilli(int64(m.Incarnation)))
+		if m.ID != p.cfg.Self.ID && m.Status == member.Alive && age < startWindow {
+			n++
+		}
+	}
+	limit := min(time.Duration(n)*time.Second/startRate, startLimit)
+	return time.Duration(rand.Int64N(int64(limit) + 1))
+}
+
 // readOnce reads the platform's head and moves to it if it is higher.
 func (p *Peer) readOnce(ctx context.Context) error {
 	hctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -92,11 +130,17 @@
 
 // readVersion fetches version v from the platform unless a push brings it.
 func (p *Peer) readVersion(ctx context.Context, v mesh.Version, d mesh.Digest) error {
-	if err := sleep(ctx, jitter(commitWait)); err != nil {
-		return err
+	wait := jitter(commitWait)
+	if p.Version() == 0 && len(p.someAlive(1)) > 0 {
+		wait = peersWait
 	}
-	if p.Version() >= v {
-		return nil
+	for end := time.Now().Add(wait); time.Now().Before(end); {
+		if err := sleep(ctx, min(time.Until(end), commitWait/4)); err != nil {
+			return err
+		}
+		if p.Version() >= v {
+			return nil
+		}
 	}
 	p.stats.fetches.Add("platform", 1)
 	mctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
@@ -41,7 +42,11 @@
 		return nil
 	}
 	for n := 0; ; n++ {
-		if p.joinOnce(ctx) {
+		joined := p.joinOnce(ctx)
+		if n == 0 {
+			close(p.attempted)
+		}
+		if joined {
 			break
 		}
 		if sleep(ctx, backoff(n, joinBase, joinLimit)) != nil {
@@ -54,8 +59,11 @@
 // joinOnce tries to reach a node from the settings, else from the table. It
 // reports true when a node answered.
 func (p *Peer) joinOnce(ctx context.Context) bool {
-	if p.syncAny(ctx, p.cfg.Join) {
+	switch p.syncAny(ctx, p.cfg.Join) {
+	case synced:
 		return true
+	case busy:
+		return false
 	}
 	nctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -65,27 +73,40 @@
 		return false
 	}
 	p.stats.platform.Add("nodes", 1)
-	return p.syncAny(ctx, addrs)
+	return p.syncAny(ctx, addrs) == synced
 }
 
+// joinResult is the result of an attempt to exchange views.
+type joinResult uint8
+
+const (
+	unreached joinResult = iota
+	busy                 // a node answered, but serves too many others
+	synced
+)
+
 // syncAny exchanges views with the first node that answers among a few random
 // ones of addrs.
-func (p *Peer) syncAny(ctx context.Context, addrs []mesh.Addr) bool {
+func (p *Peer) syncAny(ctx context.Context, addrs []mesh.Addr) joinResult {
 	tried := 0
+	result := unreached
 	for _, i := range rand.Perm(len(addrs)) {
 		if addrs[i] == p.cfg.Self.Addr {
 			continue
 		}
-		if err := p.sync(ctx, addrs[i]); err == nil {
-			return true
-		} else if ctx.Err() == nil {
-			p.log.Debug("cannot join", zap.String("addr", string(addrs[i])), zap.Error(err))
+		err := p.sync(ctx, addrs[i])
+		if err == nil {
+			return synced
+		}
+		if connect.CodeOf(err) == connect.CodeResourceExhausted {
+			result = busy
 		}
+		p.log.Debug("cannot join", zap.String("addr", string(addrs[i])), zap.Error(err))
 		if tried++; tried == joinAtOnce {
 			break
 		}
 	}
-	return false
+	return result
 }
 
 // keepSynced exchanges views with random members, and tries to reach nodes
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -52,7 +52,8 @@
 	heads   chan struct{} // read the platform's head now
 	syncs   chan struct{} // exchange views with a member now
 
-	syncSlot chan struct{}
+	syncSlot  chan struct{}
+	attempted chan struct{} // closed after the first attempt to join
 }
 
 // view is the member list that was built last.
@@ -67,20 +68,21 @@
 		return nil, err
 	}
 	p := &Peer{
-		cfg:      c,
-		log:      c.Log,
-		stats:    newStats(c.Metrics),
-		codec:    codec{derive(c.Key, "datagram")},
-		signer:   signer{derive(c.Key, "request")},
-		hop:      []byte(HopToken(c.Key)),
-		wake:     make(chan struct{}, 1),
-		moved:    make(chan struct{}, 1),
-		state:    version.New(),
-		hints:    make(chan hint, queueLength),
-		spreads:  make(chan spread, queueLength),
-		heads:    make(chan struct{}, 1),
-		syncs:    make(chan struct{}, 1),
-		syncSlot: make(chan struct{}, maxSyncs),
+		cfg:       c,
+		log:       c.Log,
+		stats:     newStats(c.Metrics),
+		codec:     codec{derive(c.Key, "datagram")},
+		signer:    signer{derive(c.Key, "request")},
+		hop:       []byte(HopToken(c.Key)),
+		wake:      make(chan struct{}, 1),
+		moved:     make(chan struct{}, 1),
+		state:     version.New(),
+		hints:     make(chan hint, queueLength),
+		spreads:   make(chan spread, queueLength),
+		heads:     make(chan struct{}, 1),
+		syncs:     make(chan struct{}, 1),
+		syncSlot:  make(chan struct{}, maxSyncs),
+		attempted: make(chan struct{}),
 	}
 	p.list = member.New(member.Config{
 		Self:   c.Self,
@@ -90,6 +92,7 @@
 	}, time.Now())
 	p.client = p.newClient()
 	p.gauges()
+	signal(p.moved) // OnMembers is told of this node itself
 	return p, nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,7 +21,7 @@
 	// rpcTimeout bounds one request between nodes on the receiving side.
 	rpcTimeout = 15 * time.Second
 	// maxRPCs bounds the requests between nodes that are served at a time.
-	maxRPCs = 128
+	maxRPCs = 64
 	// shutdownTimeout bounds the wait for requests in flight at the end of
 	// Run. The owner drains the gate before.
 	shutdownTimeout = 5 * time.Second
