Create the schema at the first accept and apply ranks before a claim

The path test found two refusals without cause. An accept within 2 s of the first start met no table, because nodes create it with a random delay; the operator API now creates it as well, which is safe to repeat.

--- a/internal/backend/claim.go
+++ b/internal/backend/claim.go
@@ -107,7 +107,9 @@
 	if e := g.available(c); e != nil {
 		return e
 	}
-	if g.machine.PressureOf(time.Now(), c.Rank) >= 1 {
+	now := time.Now()
+	g.applySnapshot(now)
+	if g.machine.PressureOf(now, c.Rank) >= 1 {
 		return fault.New(fault.Overloaded, "the rank is refused at present")
 	}
 	return nil
--- a/internal/operator/accept.go
+++ b/internal/operator/accept.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
@@ -121,6 +122,15 @@
 // hold are read from the platform.
 func (s *Server) newest(ctx context.Context) (Content, error) {
 	h, m, err := s.cfg.Platform.Documents(ctx)
+	var missing *types.ResourceNotFoundException
+	if errors.As(err, &missing) {
+		// Nodes create the table some time after their start. The first edit of
+		// a new mesh does not wait for that.
+		if err := s.cfg.Platform.EnsureSchema(ctx); err != nil {
+			return Content{}, err
+		}
+		h, m, err = s.cfg.Platform.Documents(ctx)
+	}
 	if err != nil {
 		return Content{}, err
 	}
