--- a/internal/trial/call.go
+++ b/internal/trial/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -32,6 +33,7 @@
 	Status  int    // 0 without a response
 	Kind    fault.Kind
 	Run     fault.Run
+	Reason  string // of a refusal
 	Version string
 	Size    int   // bytes of the body received
 	Err     error // nil if a complete response was received and checked
@@ -116,6 +118,10 @@
 		return errOtherRequest
 	}
 	if resp.StatusCode/100 != 2 {
+		var refusal fault.Body
+		if json.Unmarshal(b, &refusal) == nil {
+			res.Reason = refusal.Reason
+		}
 		return nil
 	}
 	if err := backend.CheckResponse(resp.Header, b, q.ID); err != nil {
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -128,19 +129,26 @@
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Signal sends s. It returns os.ErrProcessDone if the process has ended.
 func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
 
 // Kill sends SIGKILL and waits for the end. It returns nil if the process had
 // ended before.
 func (p *Process) Kill() error {
-	select {
-	case <-p.done:
+	if p.Ended() {
 		return nil
-	default:
 	}
-	err := p.Signal(syscall.SIGKILL)
-	if err != nil && err != os.ErrProcessDone { //nolint:errorlint // returned as is
+	if err := p.Signal(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	<-p.done
--- /dev/null
+++ b/internal/trial/status.go
@@ -0,0 +1,108 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/pkg/client"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// pollPause is the time between two looks at a state that is waited for.
+const pollPause = 20 * time.Millisecond
+
+// Operator returns a client of the operator API of n.
+func (n *Node) Operator() *client.Client {
+	return client.New(client.Config{Node: n.Addrs().Operator, Token: Token, Timeout: 5 * time.Second})
+}
+
+// Running returns the nodes whose process runs.
+func (m *Mesh) Running() []*Node {
+	var ns []*Node
+	for _, n := range m.Nodes {
+		if p := n.Process(); p != nil && !p.Ended() {
+			ns = append(ns, n)
+		}
+	}
+	return ns
+}
+
+// Wait calls f until it returns nil. It returns the last error of f if ctx ends
+// before.
+func Wait(ctx context.Context, f func(context.Context) error) error {
+	for {
+		err := f(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w; last: %w", ctx.Err(), err)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// WaitVersion waits until every running node serves version v or a higher one
+// and is ready.
+func (m *Mesh) WaitVersion(ctx context.Context, v mesh.Version) error {
+	return Wait(ctx, func(ctx context.Context) error {
+		var errs []error
+		for _, n := range m.Running() {
+			st, err := n.Operator().Status(ctx, 0)
+			if err != nil {
+				errs = append(errs, fmt.Errorf("%s: %w", n.Name, err))
+			} else if st.Version < v || !st.Ready {
+				errs = append(errs, fmt.Errorf("%s: version %d, ready %t", n.Name, st.Version, st.Ready))
+			}
+		}
+		return errors.Join(errs...)
+	})
+}
+
+// WaitEndpoints waits until every running node sees count alive endpoints in
+// state ready.
+func (m *Mesh) WaitEndpoints(ctx context.Context, count int) error {
+	return Wait(ctx, func(ctx context.Context) error {
+		var errs []error
+		for _, n := range m.Running() {
+			st, err := n.Operator().Status(ctx, 0)
+			if err != nil {
+				errs = append(errs, fmt.Errorf("%s: %w", n.Name, err))
+				continue
+			}
+			ready := 0
+			for _, e := range st.Endpoints {
+				if e.State == "ready" && e.Status == "alive" {
+					ready++
+				}
+			}
+			if ready != count {
+				errs = append(errs, fmt.Errorf("%s sees %d ready endpoints, want %d", n.Name, ready, count))
+			}
+		}
+		return errors.Join(errs...)
+	})
+}
+
+// CheckInvariants returns an error if a running node counted a broken
+// invariant.
+func (m *Mesh) CheckInvariants(ctx context.Context) error {
+	var errs []error
+	for _, n := range m.Running() {
+		vars, err := n.Vars(ctx)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", n.Name, err))
+			continue
+		}
+		broken, _ := vars["invariant_broken"].(map[string]any)
+		for name, count := range broken {
+			if count != 0.0 {
+				errs = append(errs, fmt.Errorf("%s: invariant_broken %s = %v", n.Name, name, count))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
