--- a/internal/standin/backend/journal.go
+++ b/internal/standin/backend/journal.go
@@ -31,6 +31,10 @@
 	Method   string         `json:"method"`
 	Path     string         `json:"path"`
 	Depth    string         `json:"depth,omitempty"`
+	Service  mesh.Service   `json:"service,omitempty"` // as the route says
+	Route    string         `json:"route,omitempty"`
+	Version  string         `json:"version,omitempty"`
+	Own      mesh.Service   `json:"own,omitempty"` // service of the backend server
 	Started  time.Time      `json:"started"`
 	Finished time.Time      `json:"finished,omitzero"`
 	Outcome  Outcome        `json:"outcome,omitempty"`
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -130,6 +130,10 @@
 		Method:   r.Method,
 		Path:     r.URL.Path,
 		Depth:    r.Header.Get(mesh.DepthHeader),
+		Service:  mesh.Service(r.Header.Get(mesh.ServiceHeader)),
+		Route:    r.Header.Get(mesh.RouteHeader),
+		Version:  r.Header.Get(mesh.VersionHeader),
+		Own:      s.cfg.Service,
 		Started:  time.Now(),
 		Draining: s.State() == Draining,
 	})
--- a/internal/standin/inject/faults.go
+++ b/internal/standin/inject/faults.go
@@ -53,6 +53,9 @@
 	Stale Duration `json:"stale,omitempty"`
 	// Conflict is the share of transactions that get a conflict.
 	Conflict float64 `json:"conflict,omitempty"`
+	// Corrupt is the share of reads whose body has one byte changed and whose
+	// checksum headers are missing.
+	Corrupt float64 `json:"corrupt,omitempty"`
 	// Operations restricts the faults to these operations; empty is all.
 	Operations []string `json:"operations,omitempty"`
 	// Next ends all faults after that many requests were subject to them. 0 is
@@ -67,7 +70,7 @@
 	default:
 		return fmt.Errorf("outage %q is not one of reset, error, hang", f.Outage)
 	}
-	for _, s := range []float64{f.Lose, f.Throttle, f.Conflict} {
+	for _, s := range []float64{f.Lose, f.Throttle, f.Conflict, f.Corrupt} {
 		if s < 0 || s > 1 {
 			return fmt.Errorf("share %v is not between 0 and 1", s)
 		}
--- a/internal/standin/inject/set.go
+++ b/internal/standin/inject/set.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -118,6 +119,7 @@
 	throttled     bool
 	latency, hold time.Duration
 	lose          bool
+	corrupt       bool
 	stale         time.Duration
 	conflict      bool
 	changed       <-chan struct{}
@@ -144,6 +146,7 @@
 	p.stale, p.conflict = time.Duration(f.Stale), s.draw(f.Conflict)
 	p.throttled = s.draw(f.Throttle) || s.limit != nil && !s.limit.Allow()
 	p.lose = s.svc.Writes(op) && s.draw(f.Lose)
+	p.corrupt = !s.svc.Writes(op) && s.draw(f.Corrupt)
 	switch {
 	case p.outage != NoOutage:
 		s.failed[string(p.outage)]++
@@ -151,6 +154,8 @@
 		s.failed["throttle"]++
 	case p.lose:
 		s.failed["lose"]++
+	case p.corrupt:
+		s.failed["corrupt"]++
 	}
 	return p
 }
@@ -193,7 +198,7 @@
 	}
 	time.Sleep(p.latency)
 	r = r.WithContext(context.WithValue(r.Context(), planKey{}, p))
-	if !p.lose && p.hold == 0 {
+	if !p.lose && !p.corrupt && p.hold == 0 {
 		s.svc.Handler.ServeHTTP(w, r)
 		return
 	}
@@ -203,6 +208,9 @@
 	if p.lose {
 		panic(http.ErrAbortHandler)
 	}
+	if p.corrupt {
+		b.damage()
+	}
 	b.copyTo(w)
 }
 
@@ -229,6 +237,14 @@
 func (b *buffer) WriteHeader(status int)      { b.status = status }
 func (b *buffer) Write(p []byte) (int, error) { return b.body.Write(p) }
 
+// damage changes the last byte of the body and removes the checksums.
+func (b *buffer) damage() {
+	if p := b.body.Bytes(); len(p) > 0 {
+		p[len(p)-1] ^= 1
+	}
+	maps.DeleteFunc(b.header, func(k string, _ []string) bool { return strings.HasPrefix(k, "X-Amz-Checksum") })
+}
+
 func (b *buffer) copyTo(w http.ResponseWriter) {
 	maps.Copy(w.Header(), b.header)
 	w.WriteHeader(b.status)
--- a/internal/standin/object/object_test.go
+++ b/internal/standin/object/object_test.go
@@ -158,4 +158,7 @@
 	require.NoError(t, s.SetFaults(inject.Faults{}))
 	require.Equal(t, "body", get(t, c, "k", ""))
 	require.EqualValues(t, 4, s.Count("PutObject"))
+	require.NoError(t, s.SetFaults(inject.Faults{Corrupt: 1, Next: 1}))
+	require.Equal(t, "bodx", get(t, c, "k", ""))
+	require.Equal(t, "body", get(t, c, "k", ""))
 }
--- a/internal/trial/build.go
+++ b/internal/trial/build.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -33,6 +34,9 @@
 	if build.dir != "" {
 		return binaries(build.dir), nil
 	}
+	if err := visitSources(); err != nil {
+		return Binaries{}, err
+	}
 	dir, err := os.MkdirTemp("", "lavenderrill-trial-")
 	if err != nil {
 		return Binaries{}, err
@@ -51,6 +55,19 @@
 	return binaries(dir), nil
 }
 
+// visitSources opens the directories of all sources. The go command takes a
+// cached test result as valid unless a file that the test opened has changed,
+// and it does not see what the go build of the programs reads.
+func visitSources() error {
+	for _, dir := range []string{"cmd", "internal", "pkg", "examples"} {
+		err := filepath.WalkDir(filepath.Join(moduleDir(), dir), func(string, fs.DirEntry, error) error { return nil })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // RemoveBuilds deletes what Build built.
 func RemoveBuilds() error {
 	build.Lock()
--- /dev/null
+++ b/internal/trial/chaos.go
@@ -0,0 +1,213 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/inject"
+	"lavenderrill.dev/lavenderrill/internal/standin/relay"
+)
+
+// Fault is one kind of fault that Chaos causes.
+type Fault string
+
+// The faults.
+const (
+	KillServer   Fault = "kill-server"
+	KillNode     Fault = "kill-node"
+	KillBoth     Fault = "kill-both"
+	FreezeServer Fault = "freeze-server"
+	FreezeNode   Fault = "freeze-node"
+	CutPeer      Fault = "cut-peer"      // connections of other nodes are cut and refused
+	TruncatePeer Fault = "truncate-peer" // responses to other nodes end early
+	HoldPeer     Fault = "hold-peer"     // bytes in one direction are held
+	LosePeer     Fault = "lose-peer"     // datagrams are lost and reordered, bytes late
+	Outage       Fault = "outage"        // the platform fails or loses responses
+)
+
+// RelayFaults are the faults that need relays.
+var RelayFaults = []Fault{CutPeer, TruncatePeer, HoldPeer, LosePeer}
+
+// ProcessFaults are the faults of single processes.
+var ProcessFaults = []Fault{KillServer, KillNode, KillBoth, FreezeServer, FreezeNode}
+
+// Chaos causes random faults that follow from its seed. Several can be present
+// at a time, but only one on a node.
+type Chaos struct {
+	Mesh   *Mesh
+	Seed   uint64
+	Faults []Fault
+	Pause  time.Duration // between the end of a fault and the next
+	AtOnce int           // faults at a time
+	Log    func(format string, args ...any)
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	busy    map[int]bool // by index of the node; platformIndex is the platform
+	counts  map[Fault]int
+	failure error
+}
+
+// platformIndex stands for the platform in Chaos.busy.
+const platformIndex = -1
+
+// Run causes faults until ctx ends and then removes those still present. It
+// returns how often each fault occurred, and the first error.
+func (c *Chaos) Run(ctx context.Context) (map[Fault]int, error) {
+	c.rnd = rand.New(rand.NewPCG(c.Seed, c.Seed))
+	c.busy, c.counts = make(map[int]bool), make(map[Fault]int)
+	var wg sync.WaitGroup
+	for range max(1, c.AtOnce) {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				if err := c.one(ctx); err != nil {
+					c.fail(err)
+					return
+				}
+				wait(ctx, c.Pause)
+			}
+		})
+	}
+	wg.Wait()
+	return c.counts, c.failure
+}
+
+func (c *Chaos) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil {
+		c.failure = err
+	}
+}
+
+// pick chooses a fault and the node that it occurs on.
+func (c *Chaos) pick() (f Fault, i int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f = c.Faults[c.rnd.IntN(len(c.Faults))]
+	i = platformIndex
+	if f != Outage {
+		i = c.rnd.IntN(len(c.Mesh.Nodes))
+	}
+	if c.busy[i] {
+		return f, i, false
+	}
+	c.busy[i] = true
+	c.counts[f]++
+	return f, i, true
+}
+
+func (c *Chaos) between(lo, hi time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return lo + time.Duration(c.rnd.Int64N(int64(hi-lo)+1))
+}
+
+func (c *Chaos) one(ctx context.Context) error {
+	f, i, ok := c.pick()
+	if !ok {
+		return nil
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.busy, i)
+	}()
+	// A fault that began is also ended after ctx has ended.
+	clean := context.WithoutCancel(ctx)
+	begin := time.Now()
+	var err error
+	if i == platformIndex {
+		err = c.outage(ctx, clean)
+	} else {
+		err = c.onNode(ctx, clean, f, c.Mesh.Nodes[i])
+	}
+	if c.Log != nil {
+		c.Log("%s %s on %d for %v", begin.Format("05.000"), f, i, time.Since(begin).Round(time.Millisecond))
+	}
+	if err != nil {
+		return fmt.Errorf("%s on %d: %w", f, i, err)
+	}
+	return nil
+}
+
+func (c *Chaos) onNode(ctx, clean context.Context, f Fault, n *Node) error {
+	switch f {
+	case KillServer:
+		if err := n.Server().Kill(); err != nil {
+			return err
+		}
+		wait(ctx, c.between(0, 500*time.Millisecond))
+		return n.StartServer(clean)
+	case KillNode:
+		if err := n.Process().Kill(); err != nil {
+			return err
+		}
+		wait(ctx, c.between(0, 500*time.Millisecond))
+		return n.Start(clean)
+	case KillBoth:
+		return n.Replace(clean)
+	case FreezeServer:
+		return c.freeze(ctx, n.Server().Process)
+	case FreezeNode:
+		return c.freeze(ctx, n.Process())
+	case CutPeer:
+		return c.onRelay(ctx, n, relay.Faults{Cut: true}, 400*time.Millisecond)
+	case TruncatePeer:
+		return c.onRelay(ctx, n, relay.Faults{Truncate: int64(c.between(1, 4000))}, 400*time.Millisecond)
+	case HoldPeer:
+		d := []relay.Direction{relay.Forward, relay.Backward, relay.Both}[int(c.between(0, 2))]
+		return c.onRelay(ctx, n, relay.Faults{Freeze: d}, 1500*time.Millisecond)
+	case LosePeer:
+		ms := relay.Duration(time.Millisecond)
+		return c.onRelay(ctx, n, relay.Faults{Delay: 2 * ms, Jitter: 5 * ms, Lose: 0.3, Reorder: 0.3, Hold: 20 * ms}, time.Second)
+	}
+	return fmt.Errorf("unknown fault")
+}
+
+// freeze stops p for less than a second, or in one case of four for longer than
+// any lease and time-out of the membership protocol.
+func (c *Chaos) freeze(ctx context.Context, p *Process) error {
+	d := c.between(100*time.Millisecond, 900*time.Millisecond)
+	if c.between(0, 3) == 0 {
+		d += 4 * time.Second
+	}
+	if err := p.Freeze(); err != nil {
+		return err
+	}
+	wait(ctx, d)
+	return p.Resume()
+}
+
+func (c *Chaos) onRelay(ctx context.Context, n *Node, f relay.Faults, longest time.Duration) error {
+	if err := n.Relay.SetFaults(f); err != nil {
+		return err
+	}
+	wait(ctx, c.between(longest/4, longest))
+	return n.Relay.SetFaults(relay.Faults{})
+}
+
+func (c *Chaos) outage(ctx, clean context.Context) error {
+	faults := []inject.Faults{
+		{Outage: inject.Error}, {Outage: inject.Reset}, {Outage: inject.Hang},
+		{Lose: 0.5}, {Throttle: 0.5}, {Latency: inject.Duration(300 * time.Millisecond)},
+	}
+	f := faults[int(c.between(0, time.Duration(len(faults)-1)))]
+	if err := c.Mesh.Platform.SetFaults(clean, f, f); err != nil {
+		return err
+	}
+	wait(ctx, c.between(500*time.Millisecond, 2*time.Second))
+	return c.Mesh.Platform.SetFaults(clean, inject.Faults{}, inject.Faults{})
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/trial/drain_test.go
@@ -0,0 +1,112 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/backend"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// TestDrain guards invariants I7 and I8: a backend server that receives new
+// work after it announced that it drains, and a planned stop of a backend
+// server or of a node that interrupts a request in flight, at either hop.
+func TestDrain(t *testing.T) {
+	m := startFaulty(t, 4, "seats")
+	c := NewCaller(128)
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	load := Load{Caller: c, Workers: 12, Pause: time.Millisecond, Timeout: 10 * time.Second,
+		Next: func(i int) (*Node, Request) {
+			q := Request{Method: "POST", Host: host, Path: "/book?size=200&time=10ms", Body: "seat", ID: mesh.RequestID(fmt.Sprintf("d-%d", i))}
+			if i%50 == 0 {
+				q.Path = "/book?size=200&time=400ms"
+			}
+			return m.Nodes[2+i%2], q
+		}}
+	done := make(chan []Result)
+	go func() { done <- load.Run(ctx, 0) }()
+	time.Sleep(time.Second)
+
+	// A request that outlasts the others keeps the backend server draining, so
+	// that it could receive more.
+	long := make(chan Result)
+	go func() {
+		long <- c.Call(within(t, 10*time.Second), m.Nodes[0], Request{Host: host, Path: "/stock?time=4s", ID: "long", Idempotent: true})
+	}()
+	first := holder(t, m, "long")
+	drained := first.Server()
+	begin := time.Now()
+	require.NoError(t, drained.Stop(within(t, 15*time.Second)))
+	r := <-long
+	require.True(t, r.OK(), failures([]Result{r}))
+	require.Greater(t, time.Since(begin), 2*time.Second)
+	require.NoError(t, first.StartServer(t.Context()))
+	require.NoError(t, m.WaitEndpoints(within(t, 10*time.Second), len(m.Nodes)))
+
+	// Requests that came in through the stopping node and that run behind its
+	// gate both finish.
+	inside := make(chan Result)
+	go func() {
+		inside <- c.Call(within(t, 10*time.Second), m.Nodes[1], Request{Host: host, Path: "/stock?time=2s", ID: "inside", Idempotent: true})
+	}()
+	holder(t, m, "inside")
+	require.NoError(t, m.Nodes[1].Process().Stop(within(t, 15*time.Second)))
+	r = <-inside
+	require.True(t, r.OK(), failures([]Result{r}))
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	results := <-done
+	require.Empty(t, failures(results))
+	require.Greater(t, len(results), 500)
+	audit(t, m, results)
+
+	runs := journal(t, drained)
+	late := 0
+	for _, e := range runs {
+		if e.Draining && e.Started.Sub(begin) > 2*time.Second {
+			late++
+		}
+	}
+	require.Zero(t, late, "requests started more than 2 s after the drain began")
+	t.Logf("%d requests; %d started on the draining backend server, all within 2 s", len(results), countDraining(runs))
+}
+
+// holder waits until a backend server runs the request and returns its node.
+func holder(t *testing.T, m *Mesh, id mesh.RequestID) *Node {
+	t.Helper()
+	var found *Node
+	require.NoError(t, Wait(within(t, 5*time.Second), func(context.Context) error {
+		for _, n := range m.Nodes {
+			for _, e := range journal(t, n.Server()) {
+				if e.Request == id {
+					found = n
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("request %s has not started", id)
+	}))
+	return found
+}
+
+func journal(t *testing.T, s *Server) []backend.Execution {
+	t.Helper()
+	runs, err := s.Executions()
+	require.NoError(t, err)
+	return runs
+}
+
+func countDraining(runs []backend.Execution) int {
+	n := 0
+	for _, e := range runs {
+		if e.Draining {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/trial/mesh.go
+++ b/internal/trial/mesh.go
@@ -158,20 +158,28 @@
 	}
 	var all []backend.Execution
 	for _, path := range paths {
-		f, err := os.Open(path)
+		runs, err := readJournal(path)
 		if err != nil {
 			return nil, err
 		}
-		runs, err := backend.ReadJournal(f)
-		_ = f.Close()
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", path, err)
-		}
 		all = append(all, runs...)
 	}
 	return all, nil
 }
 
+func readJournal(path string) ([]backend.Execution, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	runs, err := backend.ReadJournal(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return runs, nil
+}
+
 // Close kills every process of m that still runs, ends the relays and deletes
 // a temporary directory.
 func (m *Mesh) Close() error {
--- a/internal/trial/node.go
+++ b/internal/trial/node.go
@@ -213,3 +213,7 @@
 	var st backend.Status
 	return st, getJSON(ctx, "http://"+s.Control+"/control", &st)
 }
+
+// Executions returns the journal of the backend server from its file, which
+// can be read after its end.
+func (s *Server) Executions() ([]backend.Execution, error) { return readJournal(s.Journal) }
