Test the caller listener and bound the wait for refused bodies

Raw sockets showed that net/http waits without time-out for the body of a request with Expect: 100-continue that was refused, although its caller never sends it. A refused request now gets a read deadline.

Refusals of a gate that cannot reach its backend server or is starting count as free repetitions, like draining.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -30,7 +30,6 @@
 
 	resp       *http.Response
 	fault      *fault.Error
-	noConn     bool // nothing was sent
 	replayable bool // the body can be sent again
 }
 
@@ -48,7 +47,6 @@
 	a.replayable = r == nil || r.seal()
 	var outcome route.Outcome
 	if err != nil {
-		a.noConn = sent == hop.NothingSent
 		outcome = c.failed(ctx, q, a, sent, err)
 	} else {
 		outcome = c.received(q, a, resp)
@@ -173,11 +171,22 @@
 	readReason(e, resp.Body)
 	a.fault = e
 	a.latency = 0 // a quick refusal does not make an endpoint fast
+	return outcomeOf(e)
+}
+
+// outcomeOf returns what refusal e of a gate tells of its endpoint.
+func outcomeOf(e *fault.Error) route.Outcome {
 	switch e.Kind {
 	case fault.Draining:
 		return route.Drained
-	case fault.OutcomeUnknown, fault.Internal:
+	case fault.OutcomeUnknown, fault.Internal, fault.NoEndpoint, fault.NotReady:
 		return route.Failed
+	case fault.DeadlineExceeded:
+		if e.Run == fault.Unknown {
+			return route.Failed // the backend server had the request
+		}
+	case fault.Canceled:
+		return route.Canceled
 	}
 	return route.Success
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,42 +1,392 @@
 package caller
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
-// TestForward guards against a request or response that is changed on its way.
+// TestForward guards against a request or response that is changed on its way,
+// and against reserved headers that a caller sets itself.
 func TestForward(t *testing.T) {
-	b := newBench(t, newGate(t, "e1", echo))
-	a := b.do("POST", "/book/1?x=1", "hello", mesh.RequestHeader, "req-1")
-	require.Equal(t, 200, a.code)
+	var got http.Header
+	b := newBench(t, newGate(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		got.Set("Url", r.URL.String())
+		got.Set("Host", r.Host)
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Add("Set-Cookie", "a")
+		w.Header().Add("Set-Cookie", "b")
+		w.Header().Set(mesh.PressureHeader, "urgent=0.1")
+		w.WriteHeader(http.StatusTeapot)
+		echo(w, r)
+	}))
+	a := b.do("POST", "/book/%61?x=1&y=%2f", "hello", mesh.RequestHeader, "req-1", mesh.DeadlineHeader, "1000", mesh.DepthHeader, "3",
+		mesh.HopHeader, "forged", mesh.AccountHeader, "forged", "Lavenderrill-Other", "forged", "X-Own", "kept", "Connection", "X-Drop", "X-Drop", "1")
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusTeapot, a.code)
 	require.Equal(t, "hello", a.body)
-	require.Equal(t, "req-1", a.header.Get(mesh.RequestHeader))
+	require.Equal(t, []string{"a", "b"}, a.header["Set-Cookie"])
+	require.Equal(t, []string{"req-1"}, a.header[mesh.RequestHeader])
 	require.Equal(t, "7", a.header.Get(mesh.VersionHeader))
+	for _, k := range []string{"X-Hop", "Connection", mesh.PressureHeader} {
+		require.Empty(t, a.header.Get(k), k)
+	}
+	for k, want := range map[string]string{
+		"Url": "/book/%61?x=1&y=%2f", "Host": "h.example", "X-Own": "kept", "X-Drop": "", "Lavenderrill-Other": "", "Connection": "",
+		mesh.RequestHeader: "req-1", mesh.HopHeader: testToken, mesh.DepthHeader: "4", mesh.AttemptHeader: "1", mesh.VersionHeader: "7",
+		mesh.RankHeader: "urgent", mesh.AccountHeader: "acc", mesh.ServiceHeader: "s", mesh.RouteHeader: "book",
+	} {
+		require.Equal(t, want, got.Get(k), k)
+	}
+	require.Regexp(t, "^(9[0-9][0-9]|1000)$", got.Get(mesh.DeadlineHeader))
+	for _, bad := range []string{"a b", "", strings.Repeat("x", 65)} {
+		require.Len(t, b.do("GET", "/read", "", mesh.RequestHeader, bad).header.Get(mesh.RequestHeader), 36)
+	}
 }
 
-// TestRetryDraining guards against a drain that callers see.
-func TestRetryDraining(t *testing.T) {
-	d, e := newGate(t, "e1", refusing(fault.Draining)), newGate(t, "e2", echo)
-	b := newBench(t, d, e)
-	for range 20 {
-		a := b.do("POST", "/book", "x")
-		require.Equal(t, 200, a.code)
-		require.Equal(t, "x", a.body)
+// TestRefusals guards the refusals that no endpoint is asked for.
+func TestRefusals(t *testing.T) {
+	g := newGate(t, "e1", echo)
+	b := newBench(t, g)
+	for _, c := range []struct {
+		method, path string
+		header       []string
+		want         fault.Kind
+	}{
+		{"GET", "/none", nil, fault.NoRoute},
+		{"GET", "/book", nil, fault.MethodNotAllowed},
+		{"GET", "/read/../book", nil, fault.BadRequest},
+		{"GET", "/read/%2e%2e/book", nil, fault.BadRequest},
+		{"GET", "/read%2fbook", nil, fault.BadRequest},
+		{"GET", "/read", []string{"Upgrade", "websocket", "Connection", "Upgrade"}, fault.BadRequest},
+		{"TRACE", "/read", nil, fault.MethodNotAllowed},
+		{"GET", "/read", []string{mesh.DepthHeader, "20"}, fault.DepthExceeded},
+		{"GET", "/read", []string{mesh.DepthHeader, "-1"}, fault.BadRequest},
+		{"GET", "/read", []string{mesh.DeadlineHeader, "soon"}, fault.BadRequest},
+	} {
+		a := b.do(c.method, c.path, "", c.header...)
+		require.Equal(t, c.want, a.kind(), c)
+		require.Equal(t, fault.AnswerOf(c.want).Status, a.code, c)
+		require.Equal(t, fault.NotRun, a.run(), c)
 	}
-	require.LessOrEqual(t, d.hits.Load(), int64(1))
+	require.Equal(t, "POST", b.do("GET", "/book", "").header.Get("Allow"))
+	require.Zero(t, g.hits.Load())
+	require.Equal(t, 200, b.do("GET", "/read", "", mesh.DepthHeader, "19").code, "20 levels are allowed")
+
+	b.cfg.Ready = func() bool { return false }
+	require.Equal(t, fault.NotReady, b.do("GET", "/read", "").kind())
+	b.cfg.Ready = func() bool { return true }
+	b.SetMembers(nil)
+	require.Equal(t, fault.NoEndpoint, b.do("GET", "/read", "").kind())
 }
 
-// TestNotIdempotentNotRetried guards against a booking that runs twice.
-func TestNotIdempotentNotRetried(t *testing.T) {
-	g1, g2 := newGate(t, "e1", cut), newGate(t, "e2", cut)
-	b := newBench(t, g1, g2)
-	a := b.do("POST", "/book", "x")
+// TestRetries guards the decisions of internal/core/retry as they meet real
+// connections: the first endpoint fails in a known way, the second one answers.
+func TestRetries(t *testing.T) {
+	otherID := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(mesh.RequestHeader, "other") }
+	unknown := refusing(fault.OutcomeUnknown)
+	for _, c := range []struct {
+		name  string
+		first http.HandlerFunc // nil: the connection is refused
+		path  string
+		depth string
+		retry bool
+		kind  fault.Kind // of the answer without a retry
+	}{
+		{"no connection", nil, "/book", "", true, ""},
+		{"no connection, deep", nil, "/book", "5", true, ""},
+		{"no connection, single attempt", nil, "/once", "", true, ""},
+		{"draining", refusing(fault.Draining), "/book", "", true, ""},
+		{"draining, deep", refusing(fault.Draining), "/book", "1", true, ""},
+		{"overloaded", refusing(fault.Overloaded), "/book", "", true, ""},
+		{"overloaded, single attempt", refusing(fault.Overloaded), "/once", "", false, fault.Overloaded},
+		{"overloaded, deep", refusing(fault.Overloaded), "/book", "1", false, fault.Overloaded},
+		{"bad request", refusing(fault.BadRequest), "/read", "", false, fault.BadRequest},
+		{"unknown", unknown, "/book", "", false, fault.OutcomeUnknown},
+		{"unknown, idempotent", unknown, "/read", "", true, ""},
+		{"unknown, idempotent, deep", unknown, "/read", "1", false, fault.OutcomeUnknown},
+		{"cut", cut, "/book", "", false, fault.OutcomeUnknown},
+		{"cut, idempotent", cut, "/read", "", true, ""},
+		{"other request", otherID, "/book", "", false, fault.OutcomeUnknown},
+		{"other request, idempotent", otherID, "/read", "", true, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first := newGate(t, "e1", c.first)
+			if c.first == nil {
+				first.Close()
+			}
+			second := newGate(t, "e2", echo)
+			m := second.member()
+			m.Zone = "b" // so that e1 comes first
+			b := newBench(t, first)
+			b.SetMembers([]member.Member{first.member(), m})
+			a := b.do("POST", c.path, "payload", mesh.DepthHeader, c.depth)
+			if c.retry {
+				require.Equal(t, 200, a.code)
+				require.Equal(t, "payload", a.body)
+				require.EqualValues(t, 1, second.hits.Load())
+			} else {
+				require.Equal(t, c.kind, a.kind())
+				require.Zero(t, second.hits.Load())
+			}
+		})
+	}
+}
+
+// TestCrossedCounted guards against a crossed response that is not counted.
+func TestCrossedCounted(t *testing.T) {
+	b := newBench(t, newGate(t, "e1", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(mesh.RequestHeader, "other") }))
+	require.Equal(t, fault.OutcomeUnknown, b.do("POST", "/book", "x").kind())
+	require.Equal(t, "1", b.reg.ByReason("invariant_broken").Get("request_id").String())
+}
+
+// TestDeadline guards against a request that outlives its deadline, and against
+// one that is reported as not run although the endpoint had it.
+func TestDeadline(t *testing.T) {
+	stuck := newGate(t, "e1", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	b := newBench(t, stuck)
+	start := time.Now()
+	a := b.do("POST", "/short", "x")
 	require.Equal(t, fault.OutcomeUnknown, a.kind())
-	require.Equal(t, fault.Unknown, a.run())
-	require.Equal(t, int64(1), g1.hits.Load()+g2.hits.Load())
+	require.Less(t, time.Since(start), time.Second)
+	require.Equal(t, fault.OutcomeUnknown, b.do("GET", "/read", "", mesh.DeadlineHeader, "50").kind(), "deadline of the caller")
+	require.EqualValues(t, 2, stuck.hits.Load())
+}
+
+// TestStreamedBody guards against a large body that is sent twice in part, and
+// against a refusal that costs a large upload its retry.
+func TestStreamedBody(t *testing.T) {
+	big := strings.Repeat("0123456789abcdef", 64<<10) // 1 MiB
+	for name, c := range map[string]struct {
+		first http.HandlerFunc
+		ok    bool
+	}{
+		"refused": {refusing(fault.Draining), true},
+		"cut, partial": {func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.CopyN(io.Discard, r.Body, 1000)
+			panic(http.ErrAbortHandler)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newGate(t, "e1", c.first), newGate(t, "e2", echo)
+			m := second.member()
+			m.Zone = "b"
+			b := newBench(t, first)
+			b.SetMembers([]member.Member{first.member(), m})
+			a := b.do("POST", "/read", big)
+			if c.ok {
+				require.Equal(t, 200, a.code)
+				require.True(t, big == a.body, "body differs")
+				return
+			}
+			require.Equal(t, fault.OutcomeUnknown, a.kind())
+			require.Zero(t, second.hits.Load())
+		})
+	}
+}
+
+// TestBodyLimit guards against bodies of any size, with and without a declared
+// length.
+func TestBodyLimit(t *testing.T) {
+	b := newBench(t, newGate(t, "e1", echo))
+	b.cfg.MaxBody = 100 << 10
+	big := strings.Repeat("x", 101<<10)
+	require.Equal(t, fault.BodyTooLarge, b.do("POST", "/read", big).kind())
+	r, err := http.NewRequest("POST", b.url+"/read", io.MultiReader(strings.NewReader(big)))
+	require.NoError(t, err)
+	r.Host = "h.example"
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+}
+
+// TestHedge guards against a hedge that never starts or whose loser keeps its
+// place in flight, and against hedges of a route that has none.
+func TestHedge(t *testing.T) {
+	var slow atomic.Bool
+	slow.Store(true)
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if slow.CompareAndSwap(true, false) {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(500 * time.Millisecond):
+			}
+		}
+		_, _ = io.WriteString(w, "ok")
+	}
+	b := newBench(t, newGate(t, "e1", h), newGate(t, "e2", h))
+	start := time.Now()
+	a := b.do("GET", "/hedge", "")
+	require.Equal(t, "ok", a.body)
+	require.Less(t, time.Since(start), 400*time.Millisecond)
+	require.Equal(t, "1", b.reg.Counter("caller_hedges").String())
+	require.Equal(t, "1", b.reg.Counter("caller_hedge_wins").String())
+	require.Eventually(t, func() bool { return b.inFlight() == 0 }, time.Second, time.Millisecond)
+	slow.Store(true)
+	require.Equal(t, "ok", b.do("GET", "/read", "").body)
+	require.Equal(t, "1", b.reg.Counter("caller_hedges").String())
+}
+
+// TestSlowEjected guards against a slow endpoint that keeps getting requests.
+func TestSlowEjected(t *testing.T) {
+	quick := func(w http.ResponseWriter, _ *http.Request) {}
+	slow := newGate(t, "e1", func(http.ResponseWriter, *http.Request) { time.Sleep(40 * time.Millisecond) })
+	b := newBench(t, slow, newGate(t, "e2", quick), newGate(t, "e3", quick), newGate(t, "e4", quick))
+	for range 200 {
+		require.Equal(t, 200, b.do("GET", "/read", "").code)
+	}
+	require.EqualValues(t, 1, b.picker.Ejections())
+	before := slow.hits.Load()
+	for range 50 {
+		b.do("GET", "/read", "")
+	}
+	require.Equal(t, before, slow.hits.Load())
+}
+
+// TestMassDisappearance guards against an empty table when the whole service
+// seems dead but answers.
+func TestMassDisappearance(t *testing.T) {
+	b := newBench(t)
+	var ms []member.Member
+	for _, id := range []string{"e1", "e2", "e3"} {
+		m := newGate(t, id, echo).member()
+		m.Status = member.Dead
+		ms = append(ms, m)
+	}
+	b.SetMembers(ms)
+	for range 10 {
+		require.Equal(t, 200, b.do("GET", "/read", "").code)
+	}
+}
+
+// TestRateLimit guards against an account that exceeds its rate.
+func TestRateLimit(t *testing.T) {
+	g := newGate(t, "e1", echo)
+	b := newBench(t, g)
+	limited := 0
+	for range 20 {
+		if a := b.do("GET", "/limited", ""); a.kind() == fault.RateLimited {
+			require.Equal(t, http.StatusTooManyRequests, a.code)
+			require.Equal(t, "1", a.header.Get("Retry-After"))
+			limited++
+		}
+	}
+	require.GreaterOrEqual(t, limited, 16)
+	require.EqualValues(t, 20-limited, g.hits.Load())
+}
+
+// TestThrottle guards against a flood that costs the gates a refusal for each
+// request.
+func TestThrottle(t *testing.T) {
+	g := newGate(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(mesh.PressureHeader, "urgent=1,bulk=0.2")
+		refusing(fault.Overloaded)(w, r)
+	})
+	b := newBench(t, g)
+	for range 200 {
+		b.do("POST", "/once", "")
+	}
+	require.Less(t, g.hits.Load(), int64(60))
+	require.NotEqual(t, fault.Throttled, b.do("GET", "/guide", "").kind(), "another rank")
+}
+
+// TestHTTP2 guards the cleartext HTTP/2 side of the listener.
+func TestHTTP2(t *testing.T) {
+	b := newBench(t, newGate(t, "e1", echo))
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: p}}
+	defer client.CloseIdleConnections()
+	for range 3 {
+		r, err := http.NewRequest("POST", b.url+"/book", strings.NewReader("two"))
+		require.NoError(t, err)
+		r.Host = "h.example"
+		resp, err := client.Do(r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, 2, resp.ProtoMajor)
+		require.Equal(t, "two", string(body))
+	}
+}
+
+// TestDrain guards against a planned stop that cuts a request or keeps a
+// connection.
+func TestDrain(t *testing.T) {
+	entered, finish := make(chan struct{}, 10), make(chan struct{})
+	release := sync.OnceFunc(func() { close(finish) })
+	defer release()
+	b := newBench(t, newGate(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read/slow" {
+			entered <- struct{}{}
+			<-finish
+		}
+		echo(w, r)
+	}))
+	require.Equal(t, 200, b.do("GET", "/read", "").code) // a kept connection
+	slow := make(chan answer, 1)
+	go func() { slow <- b.do("POST", "/read/slow", "late") }()
+	<-entered
+	drained := make(chan error, 1)
+	go func() { drained <- b.Drain(context.Background()) }()
+	require.Eventually(t, b.draining.Load, time.Second, time.Millisecond)
+	a := b.do("GET", "/read", "")
+	require.Equal(t, 200, a.code)
+	require.True(t, a.closed)
+	select {
+	case err := <-drained:
+		t.Fatalf("drained with a request in flight: %v", err)
+	case <-time.After(2 * b.cfg.Linger):
+	}
+	release()
+	require.NoError(t, <-drained)
+	require.Equal(t, "late", (<-slow).body)
+}
+
+// TestExplain guards against an explanation that differs from what requests
+// get.
+func TestExplain(t *testing.T) {
+	b := newBench(t, newGate(t, "e1", echo))
+	r, vs, e := b.Explain("POST", "H.example:80", "/book/1")
+	require.Nil(t, e)
+	require.Equal(t, "book", r.Name)
+	require.Len(t, vs, 1)
+	require.Equal(t, "open", vs[0].Use)
+	for path, want := range map[string]fault.Kind{"/none": fault.NoRoute, "/../book": fault.BadRequest, "%": fault.BadRequest, "": fault.BadRequest} {
+		_, _, e = b.Explain("POST", "h.example", path)
+		require.Equal(t, want, e.Kind, path)
+	}
+}
+
+// TestOneSnapshot guards against a snapshot change that reaches requests late,
+// and against a return to an older one.
+func TestOneSnapshot(t *testing.T) {
+	b := newBench(t, newGate(t, "e1", echo))
+	require.Equal(t, "7", b.do("GET", "/read", "").header.Get(mesh.VersionHeader))
+	s := testSnapshot()
+	s.Version = 8
+	b.cfg.Snapshot = func() *config.Snapshot { return s }
+	require.Equal(t, "8", b.do("GET", "/read", "").header.Get(mesh.VersionHeader))
+	old := testSnapshot()
+	b.cfg.Snapshot = func() *config.Snapshot { return old }
+	require.Equal(t, "8", b.do("GET", "/read", "").header.Get(mesh.VersionHeader))
 }
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -73,7 +73,7 @@
 func (c *Caller) decide(q *call, a *attempt, b *retry.Budget) bool {
 	now := time.Now()
 	s := q.state(now)
-	s.Kind, s.Run, s.NoConn = a.fault.Kind, a.fault.Run, a.noConn
+	s.Kind, s.Run = a.fault.Kind, a.fault.Run
 	s.Replayable = a.replayable
 	v := retry.Decide(s, b, now)
 	c.counts.retries.Add(string(v.Reason), 1)
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -58,7 +58,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-func echo(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+// echo reads the whole body before it answers, since an HTTP/1.1 server of
+// net/http cuts a large body once the response begins.
+func echo(w http.ResponseWriter, r *http.Request) {
+	if b, err := io.ReadAll(r.Body); err == nil {
+		_, _ = w.Write(b)
+	}
+}
 
 // testRoutes has a route of each kind.
 func testSnapshot() *config.Snapshot {
@@ -118,6 +124,7 @@
 	code   int
 	header http.Header
 	body   string
+	closed bool  // the connection closes after it
 	err    error // of reading the body
 }
 
@@ -134,8 +141,19 @@
 		r.Header.Set(header[i], header[i+1])
 	}
 	resp, err := http.DefaultClient.Do(r)
-	require.NoError(b.t, err)
+	if err != nil {
+		return answer{err: err}
+	}
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(got), err}
+	return answer{resp.StatusCode, resp.Header, string(got), resp.Close, err}
+}
+
+// inFlight returns the requests in flight to all endpoints.
+func (b *bench) inFlight() int {
+	n := 0
+	for _, v := range b.picker.Endpoints("s", "urgent", time.Now()) {
+		n += v.InFlight
+	}
+	return n
 }
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -26,9 +26,24 @@
 	}
 	c.cfg.Log.Debug("request refused", zap.String("request", string(q.id)),
 		zap.String("kind", string(e.Kind)), zap.String("reason", e.Reason))
+	abandonBody(q)
 	fault.Write(q.w, e, q.id)
 }
 
+// abandonBody limits the time for the rest of the body of a refused request.
+// net/http reads it before it closes the connection, without time-out, although
+// a caller that waits for 100 Continue never sends it.
+func abandonBody(q *call) {
+	if q.in.ContentLength == 0 || q.bodied && q.body.rest == nil {
+		return
+	}
+	end := time.Now()
+	if q.in.Header.Get("Expect") == "" {
+		end = end.Add(readGrace)
+	}
+	_ = http.NewResponseController(q.w).SetReadDeadline(end)
+}
+
 func (q *call) setVersion() {
 	v := strconv.FormatUint(uint64(q.table.Snapshot().Version), 10)
 	q.w.Header()[mesh.VersionHeader] = []string{v}
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -42,7 +42,7 @@
 // The reasons of a repetition.
 const (
 	RetryNotRun     Reason = "not_run"    // proved not run
-	RetryFree       Reason = "free"       // cost the fleet nothing: draining or no connection
+	RetryFree       Reason = "free"       // cost the fleet nothing: no endpoint took it
 	RetryIdempotent Reason = "idempotent" // may have run, but may run twice
 	HedgeSlow       Reason = "hedge"      // no response header within the hedge delay
 )
@@ -65,7 +65,6 @@
 	Idempotent bool          // of the route
 	Kind       fault.Kind    // of the refusal or failure
 	Run        fault.Run     // whether the request may have run
-	NoConn     bool          // no connection to the gate was made
 	Attempt    int           // number of the failed attempt, from 1
 	Attempts   int           // attempts that the route allows
 	Depth      int           // Lavenderrill-Depth on arrival; 0 from a client
@@ -84,7 +83,7 @@
 // if all other conditions hold; the first repetition of a request that cost the
 // fleet nothing is not counted.
 func Decide(s State, b *Budget, now time.Time) Verdict {
-	free := s.Run == fault.NotRun && (s.NoConn || s.Kind == fault.Draining)
+	free := s.Run == fault.NotRun && isFree(s.Kind)
 	switch {
 	case s.Canceled:
 		return Verdict{Answer, DenyCanceled}
@@ -129,6 +128,12 @@
 	return 1
 }
 
+// isFree reports whether a refusal of kind k that did not run cost the fleet
+// nothing: the endpoint drains, starts, or could not be connected to.
+func isFree(k fault.Kind) bool {
+	return k == fault.Draining || k == fault.NoEndpoint || k == fault.NotReady
+}
+
 // retryable reports whether another endpoint may answer otherwise than with k.
 func retryable(k fault.Kind) bool {
 	switch k {
@@ -140,7 +145,7 @@
 }
 
 // DecideHedge returns whether a second attempt starts while the first one of s
-// still runs. Kind, Run and NoConn of s are not used.
+// still runs. Kind and Run of s are not used.
 func DecideHedge(s State, b *Budget, now time.Time) Verdict {
 	switch {
 	case s.Canceled:
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -42,7 +42,7 @@
 		"deep, queue deadline":      {func(s *State) { s.Depth, s.Kind = 1, fault.DeadlineExceeded }, Verdict{Answer, DenyDepth}},
 		"deep, unknown, idempotent": {func(s *State) { s.Depth, s.Kind, s.Run, s.Idempotent = 1, fault.OutcomeUnknown, fault.Unknown, true }, Verdict{Answer, DenyDepth}},
 		"deep, draining":            {func(s *State) { s.Depth, s.Kind = 1, fault.Draining }, Verdict{Retry, RetryFree}},
-		"deep, no connection":       {func(s *State) { s.Depth, s.Kind, s.NoConn = 1, fault.NoEndpoint, true }, Verdict{Retry, RetryFree}},
+		"deep, no connection":       {func(s *State) { s.Depth, s.Kind = 1, fault.NoEndpoint }, Verdict{Retry, RetryFree}},
 		"deep, draining twice":      {func(s *State) { s.Depth, s.Kind, s.Attempt = 1, fault.Draining, 2 }, Verdict{Answer, DenyDepth}},
 		"body gone":                 {func(s *State) { s.Replayable = false }, Verdict{Answer, DenyBody}},
 		"no time":                   {func(s *State) { s.Remaining = time.Millisecond }, Verdict{Answer, DenyDeadline}},
@@ -71,7 +71,6 @@
 		Idempotent: rapid.Bool().Draw(t, "idempotent"),
 		Kind:       rapid.SampledFrom(fault.Kinds()).Draw(t, "kind"),
 		Run:        rapid.SampledFrom([]fault.Run{fault.NotRun, fault.Unknown, ""}).Draw(t, "run"),
-		NoConn:     rapid.Bool().Draw(t, "noconn"),
 		Attempt:    rapid.IntRange(1, 5).Draw(t, "attempt"),
 		Attempts:   rapid.IntRange(0, 5).Draw(t, "attempts"),
 		Depth:      rapid.IntRange(0, MaxDepth).Draw(t, "depth"),
@@ -89,7 +88,7 @@
 		if Decide(s, funded(), start).Action == Retry {
 			require.True(t, s.Idempotent || s.Run == fault.NotRun)
 			require.True(t, s.Replayable && !s.Canceled && s.Remaining > 0)
-			require.True(t, s.Depth == 0 || s.Run == fault.NotRun && (s.NoConn || s.Kind == fault.Draining))
+			require.True(t, s.Depth == 0 || s.Run == fault.NotRun && isFree(s.Kind))
 			require.Less(t, s.Attempt, max(s.Attempts, 2))
 		}
 		if DecideHedge(s, funded(), start).Action == Hedge {
@@ -158,11 +157,10 @@
 	s := State{Idempotent: true, Attempts: 3, Depth: level, Remaining: time.Second, Replayable: true}
 	for s.Attempt = 1; ; s.Attempt++ {
 		m.attempts[level]++
-		s.Kind, s.Run, s.NoConn = "", fault.Unknown, false
+		s.Kind, s.Run = "", fault.Unknown
 		if m.rand.Float64() < m.rate {
 			s.Kind = m.kinds[m.rand.IntN(len(m.kinds))]
 			s.Run = fault.AnswerOf(s.Kind).Run
-			s.NoConn = s.Kind == fault.NoEndpoint
 		}
 		if s.Run == fault.Unknown {
 			m.runs[level]++
