--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -30,6 +30,7 @@
 	pools    *hop.Pools
 	bulk     bool
 	latency  time.Duration // time to the response header
+	notRun   func()        // called before an answer that says not run; may be nil
 }
 
 // Hop serves requests that other nodes forward. They must be authenticated.
@@ -37,6 +38,10 @@
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	c, e := g.newCall(r)
+	// Without it a caller that stops reading would hold its slot for ever. It is
+	// set for every request, since net/http keeps it for the next one of the
+	// connection. Recorders of tests have no connection to set it on.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(bodyGrace))
 	if e == nil {
 		e = hop.Check(r, g.conf.MaxBody)
 	}
@@ -46,19 +51,103 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	hop.LimitBody(w, r, g.conf.MaxBody)
-	if e := g.enter(ctx, c); e != nil {
+	if e := g.readBody(w, r, c); e != nil {
 		g.refuse(w, c, e)
 		return
 	}
+	cl, e := g.claim(ctx, c, r)
+	switch {
+	case e != nil:
+		g.refuse(w, c, e)
+	case cl == nil:
+		if e := g.run(ctx, w, r, c); e != nil {
+			g.refuse(w, c, e)
+		}
+	case cl.response != nil:
+		g.repeat(w, c, cl.response)
+	default:
+		g.runClaimed(ctx, w, r, c, cl)
+	}
+}
+
+// run admits c, forwards it and passes the response on. An error means that
+// nothing was written to w.
+func (g *Gate) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	if e := g.enter(ctx, c); e != nil {
+		return e
+	}
 	defer g.leave(c)
 	resp, e := g.forward(ctx, c, r)
 	if e != nil {
+		return e
+	}
+	defer func() { resp.Body.Close() }()
+	if err := hop.ReadSmallResponse(resp); err != nil {
+		return g.cutShort(ctx, err)
+	}
+	g.answer(w, c, resp)
+	return nil
+}
+
+// cutShort returns the refusal of a request whose response body broke off
+// before any of it was passed on.
+func (g *Gate) cutShort(ctx context.Context, err error) *fault.Error {
+	if ctx.Err() != nil {
+		return endOf(ctx.Err(), fault.Unknown)
+	}
+	return fault.Newf(fault.OutcomeUnknown, "backend server: %w", err)
+}
+
+// runClaimed is run for a request that holds a claim.
+func (g *Gate) runClaimed(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, cl *claim) {
+	// Also ends the claim when answer panics because the body was cut short.
+	defer g.claims.finish(cl, claimUnknown, nil)
+	kept := &capture{ResponseWriter: w}
+	c.notRun = func() { g.claims.release(ctx, cl) }
+	if e := g.run(ctx, kept, r, c); e != nil {
+		if e.Run == fault.NotRun {
+			c.notRun()
+		}
 		g.refuse(w, c, e)
 		return
 	}
-	defer resp.Body.Close()
-	g.answer(w, c, resp)
+	if s := kept.stored(); s != nil {
+		g.claims.finish(cl, claimStored, s)
+	}
+}
+
+// repeat answers c with the kept response of the request that it repeats.
+func (g *Gate) repeat(w http.ResponseWriter, c *call, s *stored) {
+	h := w.Header()
+	for k, vs := range s.header {
+		h[k] = vs
+	}
+	h.Set(mesh.RequestHeader, string(c.id))
+	g.setPressure(w)
+	w.WriteHeader(s.status)
+	_, _ = w.Write(s.body)
+}
+
+// bodyGrace is the time after its deadline at which a body that is still being
+// read from or written to the caller ends. It lets the deadline itself come
+// first.
+const bodyGrace = 100 * time.Millisecond
+
+// readBody reads a small request body before admission, so that a slow caller
+// holds no slot, and bounds the time and the size of a larger one.
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline.Add(bodyGrace))
+	hop.LimitBody(w, r, g.conf.MaxBody)
+	if err := hop.ReadSmall(r); err != nil {
+		if time.Now().After(c.Deadline) {
+			return endOf(context.DeadlineExceeded, fault.NotRun)
+		}
+		return fault.Newf(fault.BadRequest, "request body: %w", err)
+	}
+	return nil
 }
 
 // newCall reads the headers of a forwarded request.
@@ -73,6 +162,7 @@
 	c.Rank = mesh.Rank(h.Get(mesh.RankHeader))
 	c.Account = mesh.ClientAccount(h.Get(mesh.AccountHeader))
 	c.Data = c
+	c.Deadline = time.Now().Add(g.conf.MaxDeadline)
 	if c.id == "" {
 		return c, fault.Newf(fault.BadRequest, "header %s is missing", mesh.RequestHeader)
 	}
@@ -252,6 +342,8 @@
 		return fault.Newf(fault.BodyTooLarge, "limit is %d bytes", big.Limit).WithRun(run)
 	case ctx.Err() != nil:
 		return endOf(ctx.Err(), run)
+	case errors.Is(err, hop.ErrBody):
+		return fault.Newf(fault.Canceled, "the caller broke off: %w", err).WithRun(run)
 	}
 	g.connectionFailed(c.endpoint)
 	g.log.Debug("connection to the backend server failed", zap.Error(err), zap.String("run", string(run)))
@@ -291,6 +383,9 @@
 			h.Set(fault.KindHeader, string(fault.Overloaded))
 		}
 		g.figures.refused.Add("backend_server", 1)
+		if c.notRun != nil {
+			c.notRun()
+		}
 	} else {
 		h.Del(fault.KindHeader)
 		h.Del(fault.RunHeader)
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -11,14 +11,22 @@
 	// updatePeriod is the least time between two updates of the limit.
 	updatePeriod = 100 * time.Millisecond
 	// updateSamples is the least number of samples of an update.
-	updateSamples = 16
+	updateSamples = 32
+	// baselineSamples is the least number of samples of a rank that are compared
+	// with its baseline; fewer are kept for the next update.
+	baselineSamples = 16
+	// baselineWeight is the weight of a better latency in the baseline. The
+	// least of many noisy means would be far below the true latency.
+	baselineWeight = 0.3
 	// tolerance is the ratio of latency to the best recent latency that does
 	// not yet lower the limit.
 	tolerance = 1.5
-	// leastGradient bounds the reduction by one update.
-	leastGradient = 0.5
-	// smoothing is the weight of a new limit against the old.
-	smoothing = 0.3
+	// reduction is the share by which the limit is lowered at a time. It is
+	// large enough for its effect to stand out from the noise of 32 samples.
+	reduction = 0.3
+	// growth is the growth of the limit by one update, in square roots of the
+	// limit.
+	growth = 0.3
 	// baselineGrowth is the growth of the best latency per second. It lets the
 	// baseline follow a lasting change of the work.
 	baselineGrowth = 0.02
@@ -31,9 +39,30 @@
 	sum  float64 // seconds, samples since the last update
 	n    int
 	best float64 // seconds, 0 if unknown
+	then float64 // mean that led to the last reduction, 0 if not known then
 }
 
+// known reports whether enough samples are in hand.
+func (b *baseline) known() bool { return b.n >= baselineSamples }
+
+func (b *baseline) mean() float64 { return max(b.sum/float64(b.n), 1e-6) }
+
+// phase is what the limiter does with the samples until the next update.
+type phase uint8
+
+const (
+	steady   phase = iota
+	settling       // the limit was lowered; requests admitted before still end
+	judging        // shows whether the lower limit lowered the latency
+)
+
 // limiter is the adaptive concurrency limit.
+//
+// Latency above the best recent one has two causes. If requests queue inside
+// the backend server, a lower limit lowers the latency and costs no throughput.
+// If the server has just become slower, a lower limit only costs throughput. So
+// every reduction is judged: if it did not help, it is taken back and the
+// present latency becomes the best one.
 type limiter struct {
 	slots   int
 	fixed   bool
@@ -42,7 +71,12 @@
 	started time.Duration // start of the ramp
 	updated time.Duration
 	samples int
-	busy    bool // the limit was reached since the last update
+	seconds float64 // sum of the samples
+	busy    bool    // the limit was reached since the last update
+	phase   phase
+	before  float64 // slowness that caused the last reduction
+	doubted bool    // the last reduction did not help
+	restore float64 // limit before the present run of reductions, or 0
 }
 
 // limit returns the number of requests that may be in flight.
@@ -55,6 +89,12 @@
 	return max(1, int(v))
 }
 
+// restart forgets the adapted limit and starts the ramp.
+func (l *limiter) restart(now time.Duration) {
+	l.started, l.updated = now, now
+	l.value, l.restore, l.phase, l.doubted = float64(l.slots), 0, steady, false
+}
+
 // setSlots changes the announced slots and keeps the share of them in use.
 func (l *limiter) setSlots(n int) {
 	n = max(n, 1)
@@ -71,44 +111,133 @@
 func (l *limiter) sample(b *baseline, latency time.Duration) {
 	b.sum += latency.Seconds()
 	b.n++
+	l.seconds += latency.Seconds()
 	l.samples++
 }
 
+// due reports whether enough was observed since the last update. The time
+// covers two requests, so that after one update nothing admitted before a
+// reduction is in flight.
+func (l *limiter) due(since time.Duration) bool {
+	if since < updatePeriod || l.samples < updateSamples {
+		return false
+	}
+	return since.Seconds() >= 2*l.seconds/float64(l.samples)
+}
+
 // update adapts the limit if enough was observed since the last update.
 func (l *limiter) update(now time.Duration, ranks []*rank) {
 	since := now - l.updated
-	if since < updatePeriod || l.samples < updateSamples {
+	if l.fixed || !l.due(since) {
+		return
+	}
+	s := slowness(ranks, since.Seconds())
+	switch l.phase {
+	case settling:
+		l.phase = judging
+		forgetSamples(ranks, true)
+	case judging:
+		l.judge(ranks, s)
+	case steady:
+		l.adapt(ranks, s)
+	}
+	l.updated, l.samples, l.seconds, l.busy = now, 0, 0, false
+}
+
+// adapt lowers the limit if latency is high, and raises it if more is asked
+// for.
+func (l *limiter) adapt(ranks []*rank, s float64) {
+	switch {
+	case !l.busy:
+		l.restore = 0
+	case s > tolerance:
+		l.reduce(ranks, s)
+	default:
+		l.restore = 0
+		l.value = min(l.value+growth*math.Sqrt(l.value), float64(l.slots))
+	}
+	forgetSamples(ranks, false)
+}
+
+// reduce lowers the limit because of slowness s.
+func (l *limiter) reduce(ranks []*rank, s float64) {
+	if l.restore == 0 {
+		l.restore = l.value
+	}
+	for _, r := range ranks {
+		r.latency.then = 0
+		if r.latency.known() {
+			r.latency.then = r.latency.mean()
+		}
+	}
+	l.before, l.phase = s, settling
+	l.value = max(l.value*(1-reduction), 1)
+}
+
+// judge takes the last reduction back unless the latency of the ranks that led
+// to it has fallen. It waits until at least one of them is known again.
+func (l *limiter) judge(ranks []*rank, s float64) {
+	var was, is float64
+	for _, r := range ranks {
+		if b := &r.latency; b.known() && b.then > 0 {
+			was += b.then * float64(b.n)
+			is += b.sum
+		}
+	}
+	if was == 0 {
 		return
 	}
-	g := gradient(ranks, since.Seconds())
-	if !l.fixed && (l.busy || g < 1) {
-		next := l.value*g + math.Sqrt(l.value)
-		l.value += smoothing * (next - l.value)
-		l.value = min(max(l.value, 1), float64(l.slots))
+	l.phase = steady
+	if is <= was*(1-reduction/2) {
+		l.doubted = false
+		l.adapt(ranks, s)
+		return
+	}
+	if !l.doubted {
+		// The latency may still have been rising when the limit was lowered.
+		l.doubted = true
+		l.reduce(ranks, max(s, l.before))
+		return
+	}
+	l.value, l.restore, l.doubted = l.restore, 0, false
+	for _, r := range ranks {
+		if b := &r.latency; b.known() {
+			b.best = b.mean()
+		} else {
+			b.best *= l.before
+		}
+	}
+	forgetSamples(ranks, false)
+}
+
+// forgetSamples starts new samples for the ranks that are known, or for all.
+func forgetSamples(ranks []*rank, all bool) {
+	for _, r := range ranks {
+		if b := &r.latency; all || b.known() {
+			b.sum, b.n = 0, 0
+		}
 	}
-	l.updated, l.samples, l.busy = now, 0, false
 }
 
-// gradient returns the mean ratio of the tolerated latency to the observed one
-// over all samples, between leastGradient and 1, and starts new windows.
-func gradient(ranks []*rank, seconds float64) float64 {
+// slowness returns the mean ratio of the observed latency to the best one, over
+// all samples since the last update. It keeps the best latencies up to date.
+func slowness(ranks []*rank, seconds float64) float64 {
 	var sum, n float64
 	for _, r := range ranks {
 		b := &r.latency
-		if b.best > 0 {
-			b.best *= 1 + baselineGrowth*seconds
-		}
-		if b.n == 0 {
+		b.best *= 1 + baselineGrowth*seconds
+		if !b.known() {
 			continue
 		}
-		mean := max(b.sum/float64(b.n), 1e-6)
-		if b.best == 0 || mean < b.best {
+		mean := b.mean()
+		switch {
+		case b.best == 0:
 			b.best = mean
+		case mean < b.best:
+			b.best += baselineWeight * (mean - b.best)
 		}
-		g := min(max(tolerance*b.best/mean, leastGradient), 1)
-		sum += g * float64(b.n)
+		sum += mean / b.best * float64(b.n)
 		n += float64(b.n)
-		b.sum, b.n = 0, 0
 	}
 	if n == 0 {
 		return 1
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/pkg/config"
@@ -12,11 +13,22 @@
 const minFloor = 0.01
 
 const (
-	// serviceWeight is the weight of a new sample in the mean service time.
+	// serviceWeight is the largest weight of a new sample in the mean service
+	// time.
 	serviceWeight = 1.0 / 16
+	// serviceMemory is the time constant of the mean service time. A sample
+	// weighs as much as the time since the last one, so that the many slow
+	// samples of one stall count about as one.
+	serviceMemory = time.Second
 	// intervalWeight is the weight of a new sample in the mean time between
 	// two admissions from the queue.
-	intervalWeight = 1.0 / 16
+	intervalWeight = 1.0 / 64
+	// outlier is the ratio to the mean service time at which a sample is cut
+	// off, so that one long stall does not stand for the normal service time.
+	outlier = 4
+	// spreads is the number of mean deviations added to the mean service time
+	// when a request is held against its deadline and target.
+	spreads = 2
 	// initialService is the service time assumed before the first sample.
 	initialService = 10 * time.Millisecond
 	// saveUp is the time for which a rank with waiting work saves up its floor
@@ -37,6 +49,8 @@
 	credit   float64
 	refilled time.Duration // time of the last refill
 	service  float64       // mean service time in seconds
+	sampled  time.Duration // time of the last sample of service
+	spread   float64       // mean deviation of the service time in seconds
 	interval float64       // mean seconds between two admissions from the queue
 	last     time.Duration // last admission from the queue, or start of waiting
 	merged   *rank         // rank that took over the tickets of a removed one
@@ -82,10 +96,27 @@
 }
 
 // served records the end of a request of r that held its slot for d.
-func (r *rank) served(charged float64, d time.Duration) {
+func (r *rank) served(now time.Duration, charged float64, d time.Duration) {
 	s := d.Seconds()
 	r.credit += charged - s
-	r.service += serviceWeight * (s - r.service)
+	s = min(s, outlier*r.service)
+	w := min(serviceWeight, float64(now-r.sampled)/float64(serviceMemory))
+	r.sampled = now
+	diff := s - r.service
+	r.service += w * diff
+	r.spread += w * (math.Abs(diff) - r.spread)
+}
+
+// expectedService returns a service time that few requests exceed.
+func (r *rank) expectedService() time.Duration {
+	return time.Duration((r.service + spreads*r.spread) * float64(time.Second))
+}
+
+// late reports whether t, which was first in its queue, is to be refused because
+// its answer would miss the target while more work of r waits behind it.
+func (r *rank) late(now time.Duration, t *Ticket) bool {
+	target := r.policy.Target
+	return target > 0 && r.queue.n > 0 && now-t.offered+r.expectedService() > target
 }
 
 // dequeued records an admission from the queue.
