Refuse an accept without a change id

The call went to the platform, whose refusal of an empty key was reported as platform_unavailable. It is now a bad request that names the field.

--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -32,21 +32,21 @@
 
 // backendServer is the backend server as the gate knows it.
 type backendServer struct {
-	service     mesh.Service
-	addr        mesh.Addr
-	slots       int
-	connections int
-	announced   member.EndpointState // as the backend server says
-	health      string               // as the backend server says, not trusted
-	load        float64
-	expires     time.Time // end of the lease
-	lapsed      bool      // the lease ended
-	failures    int       // consecutive connection failures
-	failed      bool      // failureLimit was reached
-	probing     bool
-	probeAt     time.Time
-	probeDelay  time.Duration
-	pools       *hop.Pools
+	service      mesh.Service
+	addr         mesh.Addr
+	slots        int
+	connections  int
+	announced    member.EndpointState // as the backend server says
+	health, load string               // paths of its health and load endpoints, for operators
+
+	expires    time.Time // end of the lease
+	lapsed     bool      // the lease ended
+	failures   int       // consecutive connection failures
+	failed     bool      // failureLimit was reached
+	probing    bool
+	probeAt    time.Time
+	probeDelay time.Duration
+	pools      *hop.Pools
 }
 
 // endpointState returns the state that other nodes are to see.
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -168,8 +168,8 @@
 	InFlight int
 	Queued   int
 	Draining bool
-	Health   string  // as the backend server says
-	Load     float64 // as the backend server says
+	Health   string // as the backend server says
+	Load     string // path of the load endpoint
 	Pressure []admit.RankPressure
 }
 
--- a/internal/operator/accept.go
+++ b/internal/operator/accept.go
@@ -16,6 +16,10 @@
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
+// errNoChange is the refusal of a call without a change id, which could not be
+// repeated safely after a lost response.
+var errNoChange = fault.New(fault.BadRequest, "change: must be set to an id that is used once")
+
 func (s *Server) validate(_ context.Context, e client.Edit) (struct{}, error) {
 	c := s.cfg.Content()
 	cs, err := parseEdit(e, c.Manifest)
@@ -53,6 +57,9 @@
 }
 
 func (s *Server) accept(ctx context.Context, r client.AcceptRequest) (client.Accepted, error) {
+	if r.Change == "" {
+		return client.Accepted{}, errNoChange
+	}
 	c, err := s.newest(ctx)
 	if err != nil {
 		return client.Accepted{}, err
@@ -105,6 +112,9 @@
 }
 
 func (s *Server) restore(ctx context.Context, r client.RestoreRequest) (client.Accepted, error) {
+	if r.Change == "" {
+		return client.Accepted{}, errNoChange
+	}
 	c, err := s.newest(ctx)
 	if err != nil {
 		return client.Accepted{}, err
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -167,6 +167,16 @@
 	require.Equal(t, mesh.Version(1), b.current().Version)
 }
 
+// TestNoChange guards against an accept that could not be repeated safely, and
+// that was reported as an outage of the platform.
+func TestNoChange(t *testing.T) {
+	b := newBench(t)
+	_, err := b.client.Accept(t.Context(), client.AcceptRequest{Edit: edit(fleet)})
+	_ = requireKind(t, fault.BadRequest, err)
+	_, err = b.client.Restore(t.Context(), client.RestoreRequest{Version: 1})
+	_ = requireKind(t, fault.BadRequest, err)
+}
+
 // TestConflict guards against an edit from an old copy that overwrites the edit
 // of another operator.
 func TestConflict(t *testing.T) {
