Test an accept that is overtaken while its outcome is unknown

When another accept moves the head before the first transaction is resolved, the repeated transaction fails by its condition and the change must be rebased exactly once. The case was argued in a comment only; the test delays the transaction beyond the time-out and commits another change meanwhile.

--- a/internal/platform/standin_test.go
+++ b/internal/platform/standin_test.go
@@ -384,3 +384,28 @@
 	require.Equal(t, mesh.AvailabilityZone("solo"), rows[0].Zone)
 	require.WithinDuration(t, time.Now(), rows[0].Written, time.Minute)
 }
+
+// TestOvertaken guards against an accept that is applied twice, or given up,
+// when another one moves the head while the outcome of the first is unknown.
+func TestOvertaken(t *testing.T) {
+	s := newSite(t)
+	s.commit("c1", account("a", 0, 1))
+	s.config.Timeout = 300 * time.Millisecond
+	const late = 900 * time.Millisecond
+	s.faults(inject.Faults{Latency: inject.Duration(late), Next: 1, Operations: []string{"TransactWriteItems"}})
+	done := make(chan error, 1)
+	go func() {
+		for s.table.Count("TransactWriteItems") < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		_, err := s.client().Commit(t.Context(), change("c3", account("b", 0, 1)), nil)
+		done <- err
+	}()
+	h := s.commit("c2", account("a", 1, 2))
+	require.NoError(t, <-done)
+	require.EqualValues(t, 3, h.Version)
+	time.Sleep(late)
+	rs, err := s.client().History(t.Context(), 10, 0)
+	require.NoError(t, err)
+	require.Equal(t, []mesh.ChangeID{"c2", "c3", "c1"}, []mesh.ChangeID{rs[0].Change, rs[1].Change, rs[2].Change})
+}
