--- a/internal/core/member/list_test.go
+++ b/internal/core/member/list_test.go
@@ -22,6 +22,8 @@
 	cut   func(from, to int) bool // drops messages; nil drops none
 	stop  map[int]bool            // lists that neither send nor receive
 	queue []parcel
+
+	onSend func(Message)
 }
 
 type parcel struct {
@@ -85,6 +87,9 @@
 
 func (w *network) send(from int, ds []Datagram) {
 	for _, d := range ds {
+		if w.onSend != nil {
+			w.onSend(d.Message)
+		}
 		w.queue = append(w.queue, parcel{from, d})
 	}
 }
--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -86,6 +86,13 @@
 	return t.next.RoundTrip(c)
 }
 
+// CloseIdleConnections closes the idle connections of the next transport.
+func (t signing) CloseIdleConnections() {
+	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // authenticate admits signed requests to next.
 func (p *Peer) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -68,6 +68,19 @@
 	return n, err
 }
 
+// cutTransport fails requests while cut.
+type cutTransport struct {
+	http.RoundTripper
+	cut *atomic.Bool
+}
+
+func (t cutTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.cut.Load() {
+		return nil, net.ErrClosed
+	}
+	return t.RoundTripper.RoundTrip(r)
+}
+
 // source is a platform in memory.
 type source struct {
 	mu       sync.Mutex
@@ -165,6 +178,7 @@
 	}
 	p, err := New(c)
 	require.NoError(t, err)
+	p.client.Transport = cutTransport{p.client.Transport, &udp.cut}
 	ctx, cancel := context.WithCancel(context.Background())
 	tp := &testPeer{Peer: p, udp: udp, cancel: cancel, done: make(chan error, 1)}
 	go func() { tp.done <- p.Run(ctx); close(tp.done) }()
@@ -288,7 +302,6 @@
 	eventually(t, 5*time.Second, allAt(ps, 1), "all peers apply the first edit")
 	cut := ps[4]
 	cut.udp.cut.Store(true)
-	cut.client.CloseIdleConnections()
 	eventually(t, 15*time.Second, func() bool { return alive(ps[0]) == 4 }, "the cut peer is declared dead")
 	const last = 70 // more versions than deltas are kept
 	for v := mesh.Version(2); v <= last; v++ {
