--- /dev/null
+++ b/internal/load/arrive.go
@@ -0,0 +1,30 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// arrivals yields the intended starts of one stream of requests.
+type arrivals struct {
+	next func() time.Duration // time to the following start
+}
+
+// newArrivals returns the arrivals of e at the given rate in requests/s.
+func newArrivals(e Entry, rate float64, seed uint64) arrivals {
+	mean := float64(time.Second) / rate
+	switch e.Arrivals {
+	case "constant":
+		return arrivals{func() time.Duration { return time.Duration(mean) }}
+	case "burst":
+		i := 0
+		return arrivals{func() time.Duration {
+			if i++; i%e.Burst != 0 {
+				return 0
+			}
+			return time.Duration(mean * float64(e.Burst))
+		}}
+	}
+	rnd := rand.New(rand.NewPCG(seed, seed))
+	return arrivals{func() time.Duration { return time.Duration(rnd.ExpFloat64() * mean) }}
+}
--- a/internal/trial/mesh.go
+++ b/internal/trial/mesh.go
@@ -42,6 +42,11 @@
 	Nodes  []Spec
 	Relays bool   // a relay in front of the peer listener of each node
 	Seed   uint64 // of the relays and stand-ins
+	// NoSources spares the relays the search for the node that owns each
+	// connection, which grows with the square of the number of nodes.
+	// Partition then has no effect.
+	NoSources bool
+	NoJournal bool // backend servers keep their journals in memory only
 }
 
 // Specs returns nodes spread over zones, whose backend servers belong to
--- a/internal/trial/node.go
+++ b/internal/trial/node.go
@@ -68,7 +68,11 @@
 }
 
 func (n *Node) startRelay(ctx context.Context) error {
-	r, err := relay.New(relay.Config{Listen: listenAddr, Seed: n.m.cfg.Seed + uint64(n.Index), Source: n.m.sourceOf})
+	cfg := relay.Config{Listen: listenAddr, Seed: n.m.cfg.Seed + uint64(n.Index), Source: n.m.sourceOf}
+	if n.m.cfg.NoSources {
+		cfg.Source = nil
+	}
+	r, err := relay.New(cfg)
 	if err != nil {
 		return err
 	}
@@ -189,9 +193,11 @@
 		"--listen", listenAddr,
 		"--node", a.Backend,
 		"--caller", a.Caller,
-		"--journal", s.Journal,
 		"--seed", fmt.Sprint(n.m.cfg.Seed + uint64(n.Index)),
 	}
+	if !n.m.cfg.NoJournal {
+		args = append(args, "--journal", s.Journal)
+	}
 	p, err := n.m.run(ctx, name, s, n.m.bin.Standin, append(args, n.Spec.ServerArgs...)...)
 	if err != nil {
 		return err
