--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -71,6 +71,16 @@
 // host returns the host of the routes of client account i.
 func host(i int) string { return fmt.Sprintf("a%d.example", i) }
 
+// files returns the documents of the first configuration, of which base holds
+// those that are not client accounts.
+func (c *cluster) files(base []byte) []client.File {
+	fs := []client.File{{Name: c.x.Mesh.Config, Content: string(base)}}
+	for i := range c.x.Mesh.Accounts {
+		fs = append(fs, c.account(i, firstLimit))
+	}
+	return fs
+}
+
 // operator returns a client of the operator API of node i.
 func (c *cluster) operator(i int) *client.Client {
 	return client.New(client.Config{Node: c.Nodes[i].Addrs().Operator, Token: trial.Token})
@@ -85,10 +95,7 @@
 	if err != nil {
 		return err
 	}
-	files := []client.File{{Name: path, Content: string(b)}}
-	for i := range c.x.Mesh.Accounts {
-		files = append(files, c.account(i, firstLimit))
-	}
+	files := c.files(b)
 	if c.ranks, err = ranksOf(files); err != nil {
 		return err
 	}
