--- a/internal/core/admit/machine_test.go
+++ b/internal/core/admit/machine_test.go
@@ -93,6 +93,30 @@
 	require.Zero(t, m.InFlight())
 }
 
+// TestAccountFairness guards the other client accounts of a rank against a
+// flood from one of them.
+func TestAccountFairness(t *testing.T) {
+	m := NewMachine(Config{Slots: 1, Ranks: testRanks[2:3], Queue: 8, Ramp: -1}, epoch)
+	first := &Ticket{Rank: "low", Account: "flood"}
+	m.Offer(epoch, first)
+	flood := make([]Ticket, 8)
+	for i := range flood {
+		flood[i] = Ticket{Rank: "low", Account: "flood"}
+		m.Offer(epoch, &flood[i])
+		require.Equal(t, Queued, flood[i].State())
+	}
+	other := &Ticket{Rank: "low", Account: "other"}
+	ts := m.Offer(epoch, other)
+	require.Equal(t, Queued, other.State())
+	require.Len(t, ts, 1)
+	require.Same(t, &flood[7], ts[0])
+	require.Equal(t, errEvicted, ts[0].Refusal())
+	ts = m.Done(epoch, first, 0)
+	require.Same(t, &flood[0], ts[0])
+	ts = m.Done(epoch, ts[0], 0)
+	require.Same(t, other, ts[0])
+}
+
 // TestPressure guards callers against a pressure that does not tell a free gate
 // from a full or a refusing one, and against values that do not parse.
 func TestPressure(t *testing.T) {
