Count refusals by admission by cause, and unknown ranks

The kind overloaded has five causes at the gate, which call for different remedies, so each has its own counter. A change of slots or connections now rebuilds the connection pools without a new ramp: before, added slots had no connections of their own, and a change of connections reset the endpoint.

--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -69,13 +69,16 @@
 	g.mu.Lock()
 	e := &g.endpoint
 	was := g.endpointState()
-	if a.Addr != e.addr || a.Service != e.service || a.Connections != e.connections {
+	if a.Addr != e.addr || a.Service != e.service {
 		g.closePools()
-		*e = backendServer{service: a.Service, addr: a.Addr, connections: a.Connections}
-		e.pools = g.newPools(a)
+		*e = backendServer{service: a.Service, addr: a.Addr}
 		g.machine.Restart(now) // another process, which starts cold
 		g.log.Info("backend server announced", zap.String("service", string(a.Service)), zap.String("addr", string(a.Addr)))
 	}
+	if a.Slots != e.slots || a.Connections != e.connections {
+		g.closePools()
+		e.connections, e.pools = a.Connections, g.newPools(a)
+	}
 	e.slots, e.announced, e.health, e.load = a.Slots, state, a.Health, a.Load
 	e.expires, e.lapsed = now.Add(g.conf.Lease), false
 	g.applySnapshot(now)
@@ -196,7 +199,8 @@
 }
 
 // newPools returns connection pools for a. Both together stay within the
-// connections that the backend server takes; bulk ranks get half of the slots.
+// connections that the backend server takes, if it takes two per slot or more;
+// bulk ranks get half of the connections at most.
 func (g *Gate) newPools(a Announcement) *hop.Pools {
 	bulk := max(1, min(a.Slots, a.Connections/2))
 	other := max(1, min(a.Slots, a.Connections-bulk))
--- a/internal/backend/figures.go
+++ b/internal/backend/figures.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"lavenderrill.dev/lavenderrill/internal/core/admit"
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -20,28 +21,32 @@
 
 // figures are the counters of a gate.
 type figures struct {
-	registry *metric.Registry
-	admitted *expvar.Map // by rank
-	refused  *expvar.Map // by kind
-	endpoint *expvar.Map // changes by state
-	leases   *expvar.Int // lease expiries
-	aborted  *expvar.Int // answers cut short
-	claims   *expvar.Map // by result
-	wait     *times
-	service  *times
+	registry  *metric.Registry
+	admitted  *expvar.Map // by rank
+	refused   *expvar.Map // by kind
+	admission *expvar.Map // refusals by admission, by cause
+	unknown   *expvar.Int // requests of a rank that the configuration lacks
+	endpoint  *expvar.Map // changes by state
+	leases    *expvar.Int // lease expiries
+	aborted   *expvar.Int // answers cut short
+	claims    *expvar.Map // by result
+	wait      *times
+	service   *times
 }
 
 func newFigures(r *metric.Registry, g *Gate) *figures {
 	f := &figures{
-		registry: r,
-		admitted: r.ByReason("gate_admitted"),
-		refused:  r.ByReason("gate_refused"),
-		endpoint: r.ByReason("gate_endpoint"),
-		leases:   r.Counter("gate_lease_expired"),
-		aborted:  r.Counter("gate_aborted"),
-		claims:   r.ByReason("gate_claims"),
-		wait:     newTimes(),
-		service:  newTimes(),
+		registry:  r,
+		admitted:  r.ByReason("gate_admitted"),
+		refused:   r.ByReason("gate_refused"),
+		admission: r.ByReason("gate_refused_by_admission"),
+		unknown:   r.Counter("gate_unknown_rank"),
+		endpoint:  r.ByReason("gate_endpoint"),
+		leases:    r.Counter("gate_lease_expired"),
+		aborted:   r.Counter("gate_aborted"),
+		claims:    r.ByReason("gate_claims"),
+		wait:      newTimes(),
+		service:   newTimes(),
 	}
 	r.Gauge("gate_queue_wait", func() any { return f.wait.summary() })
 	r.Gauge("gate_service_time", func() any { return f.service.summary() })
@@ -51,7 +56,13 @@
 	return f
 }
 
-func (f *figures) refuse(e *fault.Error) { f.refused.Add(string(e.Kind), 1) }
+// refuse counts a refusal by kind, and one by admission also by its cause.
+func (f *figures) refuse(e *fault.Error) {
+	f.refused.Add(string(e.Kind), 1)
+	if c := admit.Cause(e); c != "" {
+		f.admission.Add(c, 1)
+	}
+}
 
 // times records durations by rank.
 type times struct {
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -13,7 +13,6 @@
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/hop"
-	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -295,19 +294,18 @@
 	g.decide(g.machine.SetRanks(now, s.Ranks))
 }
 
+// isBulk reports whether r is a bulk rank. A rank that the configuration lacks
+// is treated as the least urgent one, as in admission.
 func (g *Gate) isBulk(r mesh.Rank) bool {
-	return g.snapshot != nil && policyOf(g.snapshot, r).Bulk
-}
-
-// policyOf returns the policy of r, or that of the least urgent rank.
-func policyOf(s *config.Snapshot, r mesh.Rank) config.RankPolicy {
-	if i, ok := s.RankIndex(r); ok {
-		return s.Ranks[i]
+	if g.snapshot == nil || len(g.snapshot.Ranks) == 0 {
+		return false
 	}
-	if n := len(s.Ranks); n > 0 {
-		return s.Ranks[n-1]
+	i, ok := g.snapshot.RankIndex(r)
+	if !ok {
+		g.figures.unknown.Add(1)
+		i = len(g.snapshot.Ranks) - 1
 	}
-	return config.RankPolicy{}
+	return g.snapshot.Ranks[i].Bulk
 }
 
 // forward sends the admitted c to the backend server.
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -70,8 +70,24 @@
 	errWait      = fault.New(fault.Overloaded, "expected wait exceeds the remaining deadline")
 	errTarget    = fault.New(fault.Overloaded, "expected wait exceeds the target of the rank")
 	errEvicted   = fault.New(fault.Overloaded, "displaced by a client account with less waiting work")
-	errExpired   = fault.New(fault.DeadlineExceeded, "deadline passed in the queue")
 	errLate      = fault.New(fault.Overloaded, "waited too long for the target of the rank")
-	errDraining  = fault.New(fault.Draining, "the backend server is draining")
+	errExpired   = fault.New(fault.DeadlineExceeded, "deadline passed in the queue")
+	errDraining  = fault.New(fault.Draining, "the backend server takes no new work")
 	errNoRanks   = fault.New(fault.NotReady, "no configuration is held yet")
 )
+
+// causes names the refusals in counters.
+var causes = map[*fault.Error]string{
+	errQueueFull: "queue_full",
+	errWait:      "wait_over_deadline",
+	errTarget:    "wait_over_target",
+	errEvicted:   "displaced",
+	errLate:      "late_for_target",
+	errExpired:   "expired_in_queue",
+	errDraining:  "draining",
+	errNoRanks:   "no_ranks",
+}
+
+// Cause returns the name under which the refusal e of a ticket is counted, or
+// "" if e is not the refusal of a ticket.
+func Cause(e *fault.Error) string { return causes[e] }
