Test the run state of requests cancelled while they are sent

3,000 requests are cancelled 0 to 300 us after their start; none that was reported as not sent may have reached the server. It does not hit the window between the seal and a concurrent write, which TestSealedWrite covers.

--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -132,3 +134,29 @@
 	require.Zero(t, n)
 	require.ErrorIs(t, err, errSealed)
 }
+
+// TestCancelRace guards against a request that reaches the peer although it was
+// reported as not sent, when it is cancelled at any moment of its sending.
+func TestCancelRace(t *testing.T) {
+	var seen sync.Map
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen.Store(r.URL.Path, true) }))
+	tr := New(Config{})
+	var unsent []string
+	for i := range 3000 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%300)*time.Microsecond)
+		path := fmt.Sprint("/", i)
+		req, err := http.NewRequest(http.MethodPost, s.URL+path, strings.NewReader("x"))
+		require.NoError(t, err)
+		if sent, err := exchange(ctx, tr, req); err != nil && sent == NothingSent {
+			unsent = append(unsent, path)
+		}
+		cancel()
+	}
+	tr.CloseIdle()
+	s.Close() // waits for requests in flight
+	require.NotEmpty(t, unsent)
+	for _, path := range unsent {
+		_, ran := seen.Load(path)
+		require.False(t, ran, "request %s ran but was reported as not sent", path)
+	}
+}
