Answer repeats from memory before refusing them, and skip error latencies

A repeat of a claimed request that came while the gate refused work was told not run, although the request it repeats had run; the memory of claims is now asked first. Answers of 500 and above no longer count as latency: a backend server that sheds load answers in no time, which made normal answers look slow and could lower the limit.

--- a/internal/backend/claim.go
+++ b/internal/backend/claim.go
@@ -92,10 +92,13 @@
 	if !claimed {
 		return nil, nil
 	}
-	if e := g.peek(c); e != nil {
-		return nil, e
-	}
 	name := string(c.Account) + "/" + c.route + "/" + mesh.DigestOf([]byte(key)).String()
+	if !g.claims.has(name) {
+		// A repeat must not be refused as not run if its first request ran.
+		if e := g.peek(c); e != nil {
+			return nil, e
+		}
+	}
 	return g.claims.take(ctx, name)
 }
 
@@ -113,6 +116,13 @@
 	return nil
 }
 
+// has reports whether a request with this key was seen here.
+func (cs *claims) has(key string) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.byKey[key] != nil
+}
+
 // take returns the claim of key, made or found.
 func (cs *claims) take(ctx context.Context, key string) (*claim, *fault.Error) {
 	for {
--- a/internal/backend/claim_test.go
+++ b/internal/backend/claim_test.go
@@ -108,6 +108,9 @@
 	cr.send(t, 1, "k").requireRefusal(t, fault.OutcomeUnknown, fault.Unknown)
 	require.EqualValues(t, 1, cr.runs.Load())
 	require.Equal(t, http.StatusCreated, cr.send(t, 1, "other").status)
+	cr.gates[0].withdraw()
+	require.Equal(t, "booked", cr.send(t, 0, "k").body, "a repeat was refused as not run")
+	cr.send(t, 0, "new").requireRefusal(t, fault.NoEndpoint, fault.NotRun)
 }
 
 // TestClaimConcurrent guards against two simultaneous requests with one key
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -90,8 +89,7 @@
 	stopping bool          // Drain was called
 	idle     chan struct{} // closed when nothing is in flight and draining
 
-	forwarding atomic.Int64 // requests between admission and the end of their answer
-	told       teller
+	told teller
 }
 
 // New returns a Gate without an endpoint.
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -28,7 +28,7 @@
 	endpoint mesh.Addr
 	pools    *hop.Pools
 	bulk     bool
-	latency  time.Duration // time to the response header
+	latency  time.Duration // time to the response header, 0 if it says nothing about load
 	notRun   func()        // called before an answer that says not run; may be nil
 }
 
@@ -205,7 +205,6 @@
 	if e := c.Refusal(); e != nil {
 		return e
 	}
-	g.forwarding.Add(1)
 	return nil
 }
 
@@ -277,7 +276,6 @@
 
 // leave gives the slot of c back.
 func (g *Gate) leave(c *call) {
-	g.forwarding.Add(-1)
 	g.mu.Lock()
 	g.decide(g.machine.Done(time.Now(), &c.Ticket, c.latency))
 	g.checkIdle()
@@ -323,7 +321,10 @@
 	if err != nil {
 		return nil, g.failure(ctx, c, sent, err)
 	}
-	c.latency = time.Since(start)
+	if resp.StatusCode < http.StatusInternalServerError {
+		// Errors come faster than work is done and would set a false baseline.
+		c.latency = time.Since(start)
+	}
 	g.answered(c.endpoint)
 	return g.checkAnswer(c, resp)
 }
@@ -392,7 +393,9 @@
 	g.setPressure(w)
 	hop.CopyResponse(w, resp)
 	ok = true
-	g.figures.service.record(c.Rank, c.latency)
+	if c.latency > 0 {
+		g.figures.service.record(c.Rank, c.latency)
+	}
 }
 
 // refuse answers c with e.
