Fold two test servers and two drain tests into one each

The drain under load now also checks that Drain reports requests in flight when its context ends, which a test of its own did; one raw server replaces two. TestStall only printed; it now bounds the refusals at 1.75 times the requests that arrive in the stall.

--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -162,26 +161,3 @@
 	req.Header.Set(mesh.ServiceHeader, "katalog")
 	send(t, req).requireRefusal(t, fault.NoEndpoint, fault.NotRun)
 }
-
-// TestDrain guards against work that a drain interrupts or lets in.
-func TestDrain(t *testing.T) {
-	started, release := make(chan struct{}), make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		started <- struct{}{}
-		<-release
-	}))
-	defer s.Close()
-	r := newRig(t, s.Listener.Addr().String(), nil)
-	req := r.request(t, http.MethodPost, "", 5*time.Second)
-	done := make(chan reply, 1)
-	go func() { done <- send(t, req) }()
-	<-started
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-	defer cancel()
-	require.ErrorIs(t, r.Drain(ctx), context.DeadlineExceeded)
-	send(t, r.request(t, http.MethodPost, "", time.Second)).requireRefusal(t, fault.Draining, fault.NotRun)
-	close(release)
-	require.Equal(t, http.StatusOK, (<-done).status)
-	require.NoError(t, r.Drain(t.Context()))
-	r.requireInvariants(t)
-}
--- a/internal/backend/load_test.go
+++ b/internal/backend/load_test.go
@@ -67,6 +67,10 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, r.Drain(gone), context.Canceled, "drained with requests in flight")
+	send(t, r.request(t, http.MethodPost, "", time.Second)).requireRefusal(t, fault.Draining, fault.NotRun)
 	require.NoError(t, r.Drain(t.Context()))
 	drained.Store(1)
 	require.Zero(t, r.Status().InFlight)
--- a/internal/core/admit/admitsim/flood_test.go
+++ b/internal/core/admit/admitsim/flood_test.go
@@ -134,6 +134,7 @@
 		}
 		u := s.Run()["urgent"]
 		fmt.Printf("stall of %v, fixed limit %v: urgent refused %d, late %d, of %d queued meanwhile\n%s", stall, s.Admission.Fixed, u.Refused, u.Late, int(stall.Seconds()*s.Loads[0].Rate), s.Table())
+		require.LessOrEqual(t, float64(u.Refused), 1.75*stall.Seconds()*s.Loads[0].Rate)
 	}
 }
 
--- a/internal/hop/response_test.go
+++ b/internal/hop/response_test.go
@@ -42,27 +42,43 @@
 	return s.URL
 }
 
-// raw returns the address of a server that answers each connection's first
-// request with the given bytes and closes.
-func raw(t testing.TB, answer string) string {
+// raw returns the address of a server that writes answer to the first request
+// of each connection and closes it on reading a second one or the end. It
+// counts the requests.
+func raw(t testing.TB, answer string) (addr string, requests *atomic.Int64) {
 	t.Helper()
+	requests = new(atomic.Int64)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for i := range 2 {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			requests.Add(1)
+			if i == 0 {
+				_, _ = io.WriteString(c, answer)
+			}
+			if req.Header.Get("Cut") != "" {
+				return
+			}
+		}
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, answer)
-			}
-			c.Close()
+			go serve(c)
 		}
 	}()
-	return l.Addr().String()
+	return l.Addr().String(), requests
 }
 
 func get(t testing.TB, url string) (status int, body []byte, err error) {
@@ -87,7 +103,15 @@
 		"none":    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, _, err := get(t, proxy(t, raw(t, answer)))
+			addr, _ := raw(t, answer)
+			req, err := http.NewRequest(http.MethodGet, proxy(t, addr), nil)
+			require.NoError(t, err)
+			req.Header.Set("Cut", "1")
+			resp, err := http.DefaultClient.Do(req)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				resp.Body.Close()
+			}
 			require.Error(t, err)
 		})
 	}
--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -10,48 +9,12 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// cutter is a server that answers the first request of each connection and
-// closes the connection on reading any later one.
-func cutter(t *testing.T) (addr string, requests *atomic.Int64) {
-	t.Helper()
-	requests = new(atomic.Int64)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for first := true; ; first = false {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					requests.Add(1)
-					if !first {
-						return
-					}
-					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), requests
-}
-
 // exchange sends req and reads the answer to its end.
 func exchange(ctx context.Context, tr *Transport, req *http.Request) (Sent, error) {
 	resp, sent, err := tr.RoundTrip(ctx, req)
@@ -77,7 +40,7 @@
 		{"delete with key", http.MethodDelete, "", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			addr, n := cutter(t)
+			addr, n := raw(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			tr := New(Config{})
 			defer tr.CloseIdle()
 			send := func() (Sent, error) {
