--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,8 +44,7 @@
 }
 
 func (q *call) setVersion() {
-	v := strconv.FormatUint(uint64(q.table.Snapshot().Version), 10)
-	q.w.Header()[mesh.VersionHeader] = []string{v}
+	q.w.Header()[mesh.VersionHeader] = []string{q.table.Version()}
 }
 
 // respond passes the response of a to the caller. If its body does not arrive
