--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -6,9 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,36 +65,18 @@
 	}
 }
 
-// outgoing returns the request of a to its gate. The first attempt uses the
-// header of q.in itself, which saves a copy; later attempts copy it, since the
-// transport may still read the header of an attempt that failed.
+// outgoing returns the request of a to its gate.
 func (c *Caller) outgoing(q *call, a *attempt, r *bodyReader) *http.Request {
-	in := q.in
-	h := in.Header
-	if a.number > 1 {
-		h = h.Clone()
-	} else {
-		prepareHeader(h)
-	}
-	out := &http.Request{
-		Method: in.Method,
-		URL: &url.URL{
-			Scheme: "http", Host: string(a.endpoint.Addr),
-			Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery,
-		},
-		Header: h,
-		Host:   in.Host,
-		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Trailer: in.Trailer,
-	}
+	out := hop.Outgoing(q.in, a.endpoint.Addr)
+	h := out.Header
+	delete(h, "Expect")
 	if r != nil {
 		out.Body = r
-		out.ContentLength = in.ContentLength
 		if q.body.rest != nil {
 			// The gate asks for a streamed body only once it admits the
 			// request, so a refused request can be sent again.
 			h["Expect"] = continueValue
-		} else if len(in.Trailer) == 0 {
+		} else if len(q.in.Trailer) == 0 {
 			out.ContentLength = int64(len(q.body.buf))
 		}
 	}
@@ -110,7 +90,7 @@
 		strconv.FormatInt(remaining, 10),
 		strconv.Itoa(a.number),
 		strconv.Itoa(q.depth + 1),
-		q.table.Version(),
+		strconv.FormatUint(uint64(q.table.Snapshot().Version), 10),
 		string(q.route.Policy.Name),
 		string(q.route.Account),
 		string(q.route.Service),
@@ -122,21 +102,6 @@
 	return out
 }
 
-// prepareHeader removes from h what concerns the connection of the caller.
-func prepareHeader(h http.Header) {
-	trailers := h.Get("Te") != "" && strings.Contains(strings.ToLower(strings.Join(h["Te"], ",")), "trailers")
-	hop.RemoveHopHeaders(h)
-	delete(h, "Expect")
-	if trailers {
-		h["Te"] = trailersValue
-	}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = nil // keeps net/http from adding its own
-	}
-}
-
-var trailersValue = []string{"trailers"}
-
 var continueValue = []string{"100-continue"}
 
 // hopHeaderNames are the headers that outgoing sets, in its order. They are in
--- a/internal/caller/both_test.go
+++ b/internal/caller/both_test.go
@@ -205,16 +205,3 @@
 		b.ReportMetric(float64(v-d), fmt.Sprintf("added-p%.0f-us", q))
 	}
 }
-
-// BenchmarkHandle measures the caller side alone, without sockets of callers,
-// against a gate that answers at once.
-func BenchmarkHandle(b *testing.B) {
-	g := newGate(b, "e1", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
-	h := newBench(b, g).Handler()
-	b.ReportAllocs()
-	b.ResetTimer()
-	for b.Loop() {
-		r := httptest.NewRequest("GET", "http://h.example/read/1", nil)
-		h.ServeHTTP(httptest.NewRecorder(), r)
-	}
-}
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,7 +45,8 @@
 }
 
 func (q *call) setVersion() {
-	q.w.Header()[mesh.VersionHeader] = []string{q.table.Version()}
+	v := strconv.FormatUint(uint64(q.table.Snapshot().Version), 10)
+	q.w.Header()[mesh.VersionHeader] = []string{v}
 }
 
 // respond passes the response of a to the caller. If its body does not arrive
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 
 	"lavenderrill.dev/lavenderrill/pkg/config"
@@ -31,7 +30,6 @@
 // Table finds the route of a request. It is immutable.
 type Table struct {
 	snapshot *config.Snapshot
-	version  string
 	hosts    map[string]*paths
 	anyHost  *paths
 }
@@ -39,7 +37,7 @@
 // NewTable returns the table of s. Routes whose rank s does not have are left
 // out; a compiled snapshot has none.
 func NewTable(s *config.Snapshot) *Table {
-	t := &Table{snapshot: s, version: strconv.FormatUint(uint64(s.Version), 10), hosts: make(map[string]*paths)}
+	t := &Table{snapshot: s, hosts: make(map[string]*paths)}
 	rs := make([]Route, len(s.Routes))
 	for i := range s.Routes {
 		c := &s.Routes[i]
@@ -70,9 +68,6 @@
 // Snapshot returns the snapshot that t was built from.
 func (t *Table) Snapshot() *config.Snapshot { return t.snapshot }
 
-// Version returns the version of the snapshot in decimal form.
-func (t *Table) Version() string { return t.version }
-
 // Match returns the route of a request. Host and path must be normal (see
 // NormalHost and NormalPath). Routes of the exact host come before those of
 // any host, then the longest path decides, then the method: a path whose
