Keep short deadlines of callers from ejecting endpoints

A caller that sets a deadline of a few milliseconds made every attempt a failure of its endpoint, so five of its requests could eject one. A deadline now tells against an endpoint only after the target of the rank has passed without a response.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -70,6 +70,7 @@
 	out := hop.Outgoing(q.in, a.endpoint.Addr)
 	h := out.Header
 	delete(h, "Expect")
+	h["Via"] = append(h["Via"], via)
 	if r != nil {
 		out.Body = r
 		if q.body.rest != nil {
@@ -102,6 +103,10 @@
 	return out
 }
 
+// via names this node in the Via header, which RFC 9110 section 7.6.3 asks of
+// gateways.
+const via = "1.1 lavenderrill"
+
 var continueValue = []string{"100-continue"}
 
 // hopHeaderNames are the headers that outgoing sets, in its order. They are in
@@ -139,6 +144,9 @@
 		} else {
 			a.fault = fault.New(fault.OutcomeUnknown, "deadline passed before the response")
 		}
+		if a.latency < slowFrom(q) {
+			return route.Canceled
+		}
 		return route.Failed
 	case ctx.Err() != nil: // another attempt of this request won
 		a.fault = fault.New(fault.Canceled, "another attempt was answered").WithRun(run)
@@ -151,6 +159,16 @@
 	return route.Failed
 }
 
+// slowFrom returns the time without response from which an attempt tells
+// against its endpoint. A caller that sets a deadline of a few milliseconds
+// must not have endpoints ejected.
+func slowFrom(q *call) time.Duration {
+	if t := q.route.Policy.Target; t > 0 {
+		return min(t, q.route.Deadline)
+	}
+	return min(time.Second, q.route.Deadline)
+}
+
 // received takes the response of a, or sets its fault if the response is a
 // refusal or answers another request.
 func (c *Caller) received(q *call, a *attempt, resp *http.Response) route.Outcome {
@@ -163,6 +181,9 @@
 		c.picker.Report(a.endpoint, p, a.started.Add(a.latency))
 	}
 	e := refusalOf(resp)
+	if resp.StatusCode < http.StatusOK {
+		e = fault.New(fault.OutcomeUnknown, "endpoint switched protocols")
+	}
 	if e == nil {
 		a.resp = resp
 		return route.Success
--- a/internal/caller/both_test.go
+++ b/internal/caller/both_test.go
@@ -132,6 +132,21 @@
 	require.Greater(t, answered.Load(), int64(requests/2))
 }
 
+// TestLargeUpload guards the streaming of a large body through both hops, which
+// waits for the gate to ask for it.
+func TestLargeUpload(t *testing.T) {
+	g, _ := newReal(t, "e1", metric.New(), echo)
+	b := newBench(t, g)
+	big := strings.Repeat("0123456789abcdef", 64<<10)
+	for range 3 {
+		start := time.Now()
+		a := b.do("POST", "/book", big)
+		require.Equal(t, 200, a.code)
+		require.True(t, big == a.body, "body differs")
+		require.Less(t, time.Since(start), 900*time.Millisecond, "waited for the time-out of 100 Continue")
+	}
+}
+
 // BenchmarkAddedLatency measures the latency that both hops add on loopback: 20
 // workers at 50 requests/s each send every request once directly to the backend
 // server and once through a node. Use -benchtime 20000x.
