Correct the rate share of a node by the demand that gates see

A client that uses k of n nodes was held to k/n of its rate, since no node knows how many others serve it. Gates see the requests of all nodes, so they can report the rate per client account and route (Lavenderrill-Demand, retry.Demand); a node with unmet demand then doubles its share at most every 4 s and all shares shrink while the mesh exceeds the rate. Gossiping demand between nodes was weighed and left out, as it costs control traffic for each account.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -180,6 +180,7 @@
 	if p := resp.Header.Get(mesh.PressureHeader); p != "" {
 		c.picker.Report(a.endpoint, p, a.started.Add(a.latency))
 	}
+	c.observeDemand(q, resp)
 	e := refusalOf(resp)
 	if resp.StatusCode < http.StatusOK {
 		e = fault.New(fault.OutcomeUnknown, "endpoint switched protocols")
@@ -212,6 +213,21 @@
 	return route.Success
 }
 
+// observeDemand corrects the share of this node in the rate of the route by
+// what the gate sees. Requests spread evenly over endpoints, so one gate stands
+// for all of them.
+func (c *Caller) observeDemand(q *call, resp *http.Response) {
+	if q.route.Rate <= 0 {
+		return
+	}
+	v, err := strconv.ParseFloat(resp.Header.Get(mesh.DemandHeader), 64)
+	if err != nil || !(v >= 0) {
+		return
+	}
+	seen := v * float64(c.picker.Open(q.route.Service))
+	c.limits.Observe(q.limitKey(), seen, time.Now())
+}
+
 // crossed handles a response that carries another request id. The transport
 // keeps the connection if the body was empty, so all idle ones are closed.
 func (c *Caller) crossed(q *call, a *attempt, got string) {
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"lavenderrill.dev/lavenderrill/internal/core/retry"
 	"lavenderrill.dev/lavenderrill/internal/core/route"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -46,5 +47,10 @@
 // rank returns the name of the rank of q.
 func (q *call) rank() mesh.Rank { return q.route.Policy.Name }
 
+// limitKey returns the key of the rate limit of q.
+func (q *call) limitKey() retry.LimitKey {
+	return retry.LimitKey{Account: q.route.Account, Route: q.route.Name}
+}
+
 // canceled reports whether the caller went away.
 func (q *call) canceled() bool { return q.in.Context().Err() != nil }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -14,6 +14,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/retry"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -293,6 +294,26 @@
 	require.EqualValues(t, 20-limited, g.hits.Load())
 }
 
+// TestRateShare guards against a client that uses one node of many and is held
+// below its rate although the gates see that the rest of it is free.
+func TestRateShare(t *testing.T) {
+	for demand, share := range map[string]float64{"0.01": 1, "7": 0.5, "": 0.5} {
+		b := newBench(t, newGate(t, "e1", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(mesh.DemandHeader, demand) }))
+		b.limits.SetNodes(4) // of 2 requests/s
+		k, now := retry.LimitKey{Account: "acc", Route: "limited"}, time.Now()
+		for range 2 { // the second one is denied
+			b.limits.Allow(k, 2, now.Add(-10*time.Second))
+		}
+		require.Equal(t, 200, b.do("GET", "/limited", "").code)
+		now = time.Now()
+		ok, wait := true, time.Duration(0)
+		for ok { // empty the bucket
+			ok, wait = b.limits.Allow(k, 2, now)
+		}
+		require.InDelta(t, 1/share, wait.Seconds(), 0.4/share, "demand %q", demand)
+	}
+}
+
 // TestThrottle guards against a flood that costs the gates a refusal for each
 // request.
 func TestThrottle(t *testing.T) {
--- a/internal/caller/steps.go
+++ b/internal/caller/steps.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
-	"lavenderrill.dev/lavenderrill/internal/core/retry"
 	"lavenderrill.dev/lavenderrill/internal/core/route"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 )
@@ -65,7 +64,7 @@
 	if r.Rate <= 0 {
 		return ctx, nil
 	}
-	ok, wait := c.limits.Allow(retry.LimitKey{Account: r.Account, Route: r.Name}, r.Rate, q.arrived)
+	ok, wait := c.limits.Allow(q.limitKey(), r.Rate, q.arrived)
 	if ok {
 		return ctx, nil
 	}
--- a/internal/core/retry/limit.go
+++ b/internal/core/retry/limit.go
@@ -16,7 +16,7 @@
 	// the part of a token that is saved when a request comes a little late.
 	leastBurst = 2.0
 	// feedbackPeriod is the time between two corrections of a share.
-	feedbackPeriod = 2 * time.Second
+	feedbackPeriod = 4 * time.Second
 	// feedbackAge is the time after which a share without feedback falls back
 	// to rate/nodes.
 	feedbackAge = 10 * time.Second
@@ -44,10 +44,11 @@
 // admits at most R*T + n*max(2, R/n*1s) requests in any T seconds, and at least
 // min(demand, R*k/n) per second if callers use k nodes evenly; so a client
 // that uses few nodes is held below its rate. With feedback the share of each
-// node is between R/n and R; it doubles at most every 2 s, so a client that
-// moves to one node reaches R after 2*log2(n) seconds, and the mesh overshoots
-// by at most a factor of 2 for one period after a rise, plus the lag of the
-// observed value.
+// node is between R/n and R. It at most doubles every 4 s, so a client that
+// moves to one node reaches R after 4*log2(n) seconds, and a rise overshoots R
+// by at most a factor of 2 for one period. The rate reported by one gate stands
+// for all, so a client whose requests reach only a share z of the endpoints of
+// the service (its own availability zone) is held at z*R at least.
 type Limiter struct {
 	nodes atomic.Int64
 	m     sync.Map // LimitKey -> *limit
--- a/internal/core/retry/limit_test.go
+++ b/internal/core/retry/limit_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,37 +10,40 @@
 
 var key = LimitKey{Account: "acc", Route: "r"}
 
+// gates is the number of endpoints that report demand in admit.
+const gates = 4
+
 // admit offers demand requests/s at each of the given limiters for some
-// seconds and returns the admitted requests.
-func admit(ls []*Limiter, rate float64, now *time.Time, seconds int, demand float64, feedback bool) int {
+// seconds and returns the admitted requests and the most in any 4 s. With
+// feedback each admitted request reaches one of the gates, which reports the
+// rate that it sees.
+func admit(ls []*Limiter, rate float64, now *time.Time, seconds int, demand float64, feedback []Demand) (total, most int) {
 	const step = 10 * time.Millisecond
-	total := 0
 	owed := 0.0
-	var lately [200]int // admitted per step, 2 s
+	var lately [400]int // admitted per step
+	sum := 0
 	for i := range seconds * 100 {
 		*now = now.Add(step)
 		owed += demand * step.Seconds()
 		n := 0
 		for ; owed >= 1; owed-- {
 			for _, l := range ls {
-				if ok, _ := l.Allow(key, rate, *now); ok {
-					n++
+				ok, _ := l.Allow(key, rate, *now)
+				if !ok {
+					continue
+				}
+				n++
+				if feedback != nil {
+					l.Observe(key, gates*feedback[rand.IntN(gates)].Add(key, *now), *now)
 				}
 			}
 		}
 		total += n
+		sum += n - lately[i%len(lately)]
 		lately[i%len(lately)] = n
-		if feedback && i >= len(lately) {
-			seen := 0
-			for _, v := range lately {
-				seen += v
-			}
-			for _, l := range ls {
-				l.Observe(key, float64(seen)/2, *now)
-			}
-		}
+		most = max(most, sum)
 	}
-	return total
+	return total, most
 }
 
 func limiters(n, nodes int) []*Limiter {
@@ -57,7 +61,7 @@
 	for _, n := range []int{1, 4, 100} {
 		now := start
 		const rate, seconds = 80, 20
-		got := admit(limiters(n, n), rate, &now, seconds, 2*rate/float64(n)+1, false)
+		got, _ := admit(limiters(n, n), rate, &now, seconds, 2*rate/float64(n)+1, nil)
 		most := rate*seconds + float64(n)*max(2, rate/float64(n))
 		t.Logf("%d nodes: admitted %d, rate alone %d, bound %.0f", n, got, rate*seconds, most)
 		require.LessOrEqual(t, float64(got), most)
@@ -66,18 +70,25 @@
 }
 
 // TestLimitConcentrated guards against a client that is held below its rate
-// for ever since it uses few nodes, and against an overshoot without bound.
+// for ever since it uses few nodes, and against an overshoot without bound when
+// it comes, stays, or spreads to all nodes.
 func TestLimitConcentrated(t *testing.T) {
 	const rate, nodes = 80, 64
 	now := start
-	ls := limiters(2, nodes)
-	require.Less(t, admit(ls, rate, &now, 10, 2*rate, false), 10*rate/10)
-	admit(ls, rate, &now, 30, 2*rate, true)
-	got := admit(ls, rate, &now, 30, 2*rate, true)
-	t.Logf("2 of %d nodes with feedback: admitted %d in 30 s at rate %d", nodes, got, rate)
-	require.InDelta(t, 30*rate, got, 0.25*30*rate)
+	ls := limiters(nodes, nodes)
+	got, _ := admit(ls[:2], rate, &now, 10, 2*rate, nil)
+	require.Less(t, got, 10*rate/10)
+	d := make([]Demand, gates)
+	_, rise := admit(ls[:2], rate, &now, 60, 2*rate, d)
+	got, stay := admit(ls[:2], rate, &now, 60, 2*rate, d)
+	_, spread := admit(ls, rate, &now, 60, 2*rate, d)
+	t.Logf("2 of %d nodes: admitted %.2f of the rate; most in 4 s: %.2f of the rate on the rise, %.2f later, %.2f when all nodes get requests",
+		nodes, float64(got)/60/rate, float64(rise)/4/rate, float64(stay)/4/rate, float64(spread)/4/rate)
+	require.InDelta(t, 60*rate, got, 0.15*60*rate)
+	require.LessOrEqual(t, float64(max(rise, stay, spread)), 2.0*4*rate+2*nodes)
 	now = now.Add(feedbackAge + time.Second)
-	require.Less(t, admit(ls, rate, &now, 10, 2*rate, false), 2*10*rate/10, "without feedback the share falls back")
+	got, _ = admit(ls[:2], rate, &now, 10, 2*rate, nil)
+	require.Less(t, got, 2*10*rate/10, "without feedback the share falls back")
 }
 
 // TestLimitEdges guards against a limit on routes without rate, a wait that is
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -270,6 +270,18 @@
 	return true
 }
 
+// Open returns the number of endpoints of s that take requests without
+// restriction.
+func (p *Picker) Open(s mesh.Service) int {
+	svc := p.service(s)
+	if svc == nil {
+		return 0
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return len(svc.local) + len(svc.remote)
+}
+
 // Ejections returns the number of ejections so far.
 func (p *Picker) Ejections() int64 { return p.ejected.Load() }
 
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -13,6 +13,9 @@
 	DepthHeader = "Lavenderrill-Depth"
 	// PressureHeader carries the pressure of a gate per rank.
 	PressureHeader = "Lavenderrill-Pressure"
+	// DemandHeader carries the requests per second that a gate sees of the
+	// client account and route of a request.
+	DemandHeader = "Lavenderrill-Demand"
 	// VersionHeader carries the configuration version that routed a request.
 	VersionHeader = "Lavenderrill-Version"
 	// RankHeader carries the rank that the route gives to a request.
