--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -66,7 +66,7 @@
 func (p PhaseReport) writeRanks(b *strings.Builder) {
 	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', tabwriter.AlignRight)
 	row := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) } // a strings.Builder does not fail
-	row("rank\tvia\ttarget ms\toffered\tin time\tlate\trefused\tfailed\tunknown\tbroken\tunsent\tin time %\tin time/s\t% of capacity\tworth/s\tp50 ms\tp90\tp99\tp99.9\t")
+	row("%s", "rank\tvia\ttarget ms\toffered\tin time\tlate\trefused\tfailed\tunknown\tbroken\tunsent\tin time %\tin time/s\t% of capacity\tworth/s\tp50 ms\tp90\tp99\tp99.9\t")
 	var goodput, capacity, worth float64
 	for _, r := range p.Ranks {
 		row("%s\t%s\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t",
