--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -90,8 +89,7 @@
 	stopping bool          // Drain was called
 	idle     chan struct{} // closed when nothing is in flight and draining
 
-	forwarding atomic.Int64 // requests between admission and the end of their answer
-	told       teller
+	told teller
 }
 
 // New returns a Gate without an endpoint.
@@ -168,6 +166,8 @@
 	InFlight int
 	Queued   int
 	Draining bool
+	Health   string // as the backend server says
+	Load     string // path of the load endpoint
 	Pressure []admit.RankPressure
 }
 
@@ -185,6 +185,8 @@
 		InFlight: g.machine.InFlight(),
 		Queued:   g.machine.Queued(),
 		Draining: g.machine.Draining(),
+		Health:   g.endpoint.health,
+		Load:     g.endpoint.load,
 		Pressure: g.machine.Pressure(now, nil),
 	}
 }
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -13,7 +13,6 @@
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/hop"
-	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -29,7 +28,7 @@
 	endpoint mesh.Addr
 	pools    *hop.Pools
 	bulk     bool
-	latency  time.Duration // time to the response header
+	latency  time.Duration // time to the response header, 0 if it says nothing about load
 	notRun   func()        // called before an answer that says not run; may be nil
 }
 
@@ -38,6 +37,10 @@
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	c, e := g.newCall(r)
+	// Without it a caller that stops reading would hold its slot for ever. It is
+	// set for every request, since net/http keeps it for the next one of the
+	// connection. Recorders of tests have no connection to set it on.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(bodyGrace))
 	if e == nil {
 		e = hop.Check(r, g.conf.MaxBody)
 	}
@@ -47,7 +50,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	hop.LimitBody(w, r, g.conf.MaxBody)
+	if e := g.readBody(w, r, c); e != nil {
+		g.refuse(w, c, e)
+		return
+	}
 	cl, e := g.claim(ctx, c, r)
 	switch {
 	case e != nil:
@@ -74,11 +80,23 @@
 	if e != nil {
 		return e
 	}
-	defer resp.Body.Close()
+	defer func() { resp.Body.Close() }()
+	if err := hop.ReadSmallResponse(resp); err != nil {
+		return g.cutShort(ctx, err)
+	}
 	g.answer(w, c, resp)
 	return nil
 }
 
+// cutShort returns the refusal of a request whose response body broke off
+// before any of it was passed on.
+func (g *Gate) cutShort(ctx context.Context, err error) *fault.Error {
+	if ctx.Err() != nil {
+		return endOf(ctx.Err(), fault.Unknown)
+	}
+	return fault.Newf(fault.OutcomeUnknown, "backend server: %w", err)
+}
+
 // runClaimed is run for a request that holds a claim.
 func (g *Gate) runClaimed(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, cl *claim) {
 	// Also ends the claim when answer panics because the body was cut short.
@@ -109,6 +127,28 @@
 	_, _ = w.Write(s.body)
 }
 
+// bodyGrace is the time after its deadline at which a body that is still being
+// read from or written to the caller ends. It lets the deadline itself come
+// first.
+const bodyGrace = 100 * time.Millisecond
+
+// readBody reads a small request body before admission, so that a slow caller
+// holds no slot, and bounds the time and the size of a larger one.
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline.Add(bodyGrace))
+	hop.LimitBody(w, r, g.conf.MaxBody)
+	if err := hop.ReadSmall(r); err != nil {
+		if time.Now().After(c.Deadline) {
+			return endOf(context.DeadlineExceeded, fault.NotRun)
+		}
+		return fault.Newf(fault.BadRequest, "request body: %w", err)
+	}
+	return nil
+}
+
 // newCall reads the headers of a forwarded request.
 func (g *Gate) newCall(r *http.Request) (*call, *fault.Error) {
 	h := r.Header
@@ -121,6 +161,7 @@
 	c.Rank = mesh.Rank(h.Get(mesh.RankHeader))
 	c.Account = mesh.ClientAccount(h.Get(mesh.AccountHeader))
 	c.Data = c
+	c.Deadline = time.Now().Add(g.conf.MaxDeadline)
 	if c.id == "" {
 		return c, fault.Newf(fault.BadRequest, "header %s is missing", mesh.RequestHeader)
 	}
@@ -164,7 +205,6 @@
 	if e := c.Refusal(); e != nil {
 		return e
 	}
-	g.forwarding.Add(1)
 	return nil
 }
 
@@ -236,7 +276,6 @@
 
 // leave gives the slot of c back.
 func (g *Gate) leave(c *call) {
-	g.forwarding.Add(-1)
 	g.mu.Lock()
 	g.decide(g.machine.Done(time.Now(), &c.Ticket, c.latency))
 	g.checkIdle()
@@ -253,19 +292,18 @@
 	g.decide(g.machine.SetRanks(now, s.Ranks))
 }
 
+// isBulk reports whether r is a bulk rank. A rank that the configuration lacks
+// is treated as the least urgent one, as in admission.
 func (g *Gate) isBulk(r mesh.Rank) bool {
-	return g.snapshot != nil && policyOf(g.snapshot, r).Bulk
-}
-
-// policyOf returns the policy of r, or that of the least urgent rank.
-func policyOf(s *config.Snapshot, r mesh.Rank) config.RankPolicy {
-	if i, ok := s.RankIndex(r); ok {
-		return s.Ranks[i]
+	if g.snapshot == nil || len(g.snapshot.Ranks) == 0 {
+		return false
 	}
-	if n := len(s.Ranks); n > 0 {
-		return s.Ranks[n-1]
+	i, ok := g.snapshot.RankIndex(r)
+	if !ok {
+		g.figures.unknown.Add(1)
+		i = len(g.snapshot.Ranks) - 1
 	}
-	return config.RankPolicy{}
+	return g.snapshot.Ranks[i].Bulk
 }
 
 // forward sends the admitted c to the backend server.
@@ -283,7 +321,10 @@
 	if err != nil {
 		return nil, g.failure(ctx, c, sent, err)
 	}
-	c.latency = time.Since(start)
+	if resp.StatusCode < http.StatusInternalServerError {
+		// Errors come faster than work is done and would set a false baseline.
+		c.latency = time.Since(start)
+	}
 	g.answered(c.endpoint)
 	return g.checkAnswer(c, resp)
 }
@@ -300,6 +341,8 @@
 		return fault.Newf(fault.BodyTooLarge, "limit is %d bytes", big.Limit).WithRun(run)
 	case ctx.Err() != nil:
 		return endOf(ctx.Err(), run)
+	case errors.Is(err, hop.ErrBody):
+		return fault.Newf(fault.Canceled, "the caller broke off: %w", err).WithRun(run)
 	}
 	g.connectionFailed(c.endpoint)
 	g.log.Debug("connection to the backend server failed", zap.Error(err), zap.String("run", string(run)))
@@ -350,7 +393,9 @@
 	g.setPressure(w)
 	hop.CopyResponse(w, resp)
 	ok = true
-	g.figures.service.record(c.Rank, c.latency)
+	if c.latency > 0 {
+		g.figures.service.record(c.Rank, c.latency)
+	}
 }
 
 // refuse answers c with e.
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -177,11 +177,11 @@
 	return m.decided
 }
 
-// Restart ends draining and starts a new ramp, for a backend server that came
-// back.
+// Restart ends draining and starts a new ramp towards all slots, for a backend
+// server that came back.
 func (m *Machine) Restart(now time.Time) {
 	m.draining = false
-	m.limiter.started = m.at(now)
+	m.limiter.restart(m.at(now))
 }
 
 // SetSlots changes the announced slots and returns the tickets that it decided.
@@ -410,7 +410,12 @@
 		}
 		work += float64(o.queue.n) * o.service
 	}
-	w := work / float64(m.limiter.limit(at))
+	limit := float64(m.limiter.limit(at))
+	w := work / limit
+	if m.order == Floors {
+		// More urgent work does not hold up the floor of r.
+		w = min(w, (ahead+1)*r.service/(r.policy.Floor*limit))
+	}
 	if r.queue.n > 0 {
 		w = max(w, ahead*max(r.interval, (at-r.last).Seconds()))
 	}
--- a/internal/operator/accept.go
+++ b/internal/operator/accept.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
@@ -15,6 +16,10 @@
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
+// errNoChange is the refusal of a call without a change id, which could not be
+// repeated safely after a lost response.
+var errNoChange = fault.New(fault.BadRequest, "change: must be set to an id that is used once")
+
 func (s *Server) validate(_ context.Context, e client.Edit) (struct{}, error) {
 	c := s.cfg.Content()
 	cs, err := parseEdit(e, c.Manifest)
@@ -52,6 +57,9 @@
 }
 
 func (s *Server) accept(ctx context.Context, r client.AcceptRequest) (client.Accepted, error) {
+	if r.Change == "" {
+		return client.Accepted{}, errNoChange
+	}
 	c, err := s.newest(ctx)
 	if err != nil {
 		return client.Accepted{}, err
@@ -104,6 +112,9 @@
 }
 
 func (s *Server) restore(ctx context.Context, r client.RestoreRequest) (client.Accepted, error) {
+	if r.Change == "" {
+		return client.Accepted{}, errNoChange
+	}
 	c, err := s.newest(ctx)
 	if err != nil {
 		return client.Accepted{}, err
@@ -121,6 +132,15 @@
 // hold are read from the platform.
 func (s *Server) newest(ctx context.Context) (Content, error) {
 	h, m, err := s.cfg.Platform.Documents(ctx)
+	var missing *types.ResourceNotFoundException
+	if errors.As(err, &missing) {
+		// Nodes create the table some time after their start. The first edit of
+		// a new mesh does not wait for that.
+		if err := s.cfg.Platform.EnsureSchema(ctx); err != nil {
+			return Content{}, err
+		}
+		h, m, err = s.cfg.Platform.Documents(ctx)
+	}
 	if err != nil {
 		return Content{}, err
 	}
