Add tests of a paused node and of racing operators

TestConflict lets four operators edit one document from the same revision: one wins and the others are shown both values.

--- a/internal/trial/version_test.go
+++ b/internal/trial/version_test.go
@@ -221,3 +221,83 @@
 	}
 	require.NoError(t, m.WaitVersion(within(t, 10*time.Second), edits+1))
 }
+
+// TestPausedNode guards invariants I1 and I9: a node that was paused for longer
+// than every time-out and that then serves requests, which waited meanwhile or
+// come at once, with the version from before its pause.
+func TestPausedNode(t *testing.T) {
+	m := startFaulty(t, 4, "seats")
+	watch(t, m)
+	c := NewCaller(64)
+	defer c.Close()
+	n := m.Nodes[0]
+	for round := range 3 {
+		require.NoError(t, n.Process().Freeze())
+		time.Sleep(3500 * time.Millisecond)
+		v, err := edit(within(t, 10*time.Second), m.Nodes[1], mesh.ChangeID(fmt.Sprintf("paused-%d", round)), account("tegal", fmt.Sprintf("tegal%d.example", round)))
+		require.NoError(t, err)
+		time.Sleep(500 * time.Millisecond)
+		ctx := within(t, 3*time.Second)
+		load := Load{Caller: c, Workers: 16, Pause: time.Millisecond, Timeout: 10 * time.Second,
+			Next: func(i int) (*Node, Request) {
+				return n, Request{Host: host, Path: "/stock", ID: mesh.RequestID(fmt.Sprintf("z-%d-%d", round, i)), Idempotent: true}
+			}}
+		resumed := time.AfterFunc(500*time.Millisecond, func() { _ = n.Process().Resume() })
+		results := load.Run(ctx, 0)
+		require.False(t, resumed.Stop())
+		served, old := 0, 0
+		for _, r := range results {
+			if !r.OK() {
+				require.True(t, r.NotRun(), failures([]Result{r}))
+				continue
+			}
+			served++
+			var got mesh.Version
+			_, err := fmt.Sscan(r.Version, &got)
+			require.NoError(t, err)
+			if got < v {
+				old++
+			}
+		}
+		require.Positive(t, served)
+		require.Zero(t, old, "of %d requests served after the pause", served)
+	}
+	require.NoError(t, m.CheckInvariants(within(t, 5*time.Second)))
+}
+
+// TestConflict guards against two edits of one document of which both win, and
+// against a loser that is not shown both values.
+func TestConflict(t *testing.T) {
+	m := startFaulty(t, 4, "seats")
+	base := func(h string) string { return "# revision 1 of account/solo\n" + account("solo", h) }
+	type end struct {
+		out Output
+		err error
+	}
+	ends := make([]end, 4)
+	var wg sync.WaitGroup
+	for i, n := range m.Nodes {
+		path := write(t, m, fmt.Sprintf("race-%d.yaml", i), base(fmt.Sprintf("race%d.example", i)))
+		wg.Go(func() {
+			ends[i].out, ends[i].err = m.Command(within(t, 20*time.Second), "accept", "--node", n.Addrs().Operator, "--wait", path)
+		})
+	}
+	wg.Wait()
+	won := -1
+	for i, e := range ends {
+		require.NoError(t, e.err)
+		if e.out.Code == 0 {
+			require.Equal(t, -1, won, "both %d and %d were accepted", won, i)
+			won = i
+		}
+	}
+	require.NotEqual(t, -1, won)
+	for i, e := range ends {
+		if i != won {
+			require.Equal(t, 1, e.out.Code, e.out.Stderr)
+			require.Contains(t, e.out.Stderr, "conflict")
+			require.Contains(t, e.out.Stderr, fmt.Sprintf("race%d.example", i))
+			require.Contains(t, e.out.Stderr, fmt.Sprintf("race%d.example", won))
+		}
+	}
+}
