--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -32,19 +32,21 @@
 
 // backendServer is the backend server as the gate knows it.
 type backendServer struct {
-	service     mesh.Service
-	addr        mesh.Addr
-	slots       int
-	connections int
-	announced   member.EndpointState // as the backend server says
-	expires     time.Time            // end of the lease
-	lapsed      bool                 // the lease ended
-	failures    int                  // consecutive connection failures
-	failed      bool                 // failureLimit was reached
-	probing     bool
-	probeAt     time.Time
-	probeDelay  time.Duration
-	pools       *hop.Pools
+	service      mesh.Service
+	addr         mesh.Addr
+	slots        int
+	connections  int
+	announced    member.EndpointState // as the backend server says
+	health, load string               // paths of its health and load endpoints, for operators
+
+	expires    time.Time // end of the lease
+	lapsed     bool      // the lease ended
+	failures   int       // consecutive connection failures
+	failed     bool      // failureLimit was reached
+	probing    bool
+	probeAt    time.Time
+	probeDelay time.Duration
+	pools      *hop.Pools
 }
 
 // endpointState returns the state that other nodes are to see.
@@ -71,9 +73,10 @@
 		g.closePools()
 		*e = backendServer{service: a.Service, addr: a.Addr, connections: a.Connections}
 		e.pools = g.newPools(a)
+		g.machine.Restart(now) // another process, which starts cold
 		g.log.Info("backend server announced", zap.String("service", string(a.Service)), zap.String("addr", string(a.Addr)))
 	}
-	e.slots, e.announced = a.Slots, state
+	e.slots, e.announced, e.health, e.load = a.Slots, state, a.Health, a.Load
 	e.expires, e.lapsed = now.Add(g.conf.Lease), false
 	g.applySnapshot(now)
 	g.decide(g.machine.SetSlots(now, a.Slots))
--- a/internal/hop/request.go
+++ b/internal/hop/request.go
@@ -1,15 +1,21 @@
 package hop
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"sync/atomic"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
+// smallBody is the largest body in bytes that is read before it is sent, so that
+// header and body leave in one write.
+const smallBody = 4 << 10
+
 // body is a request body that net/http can neither recognise as empty nor
 // rewind. net/http replays a request on a broken reused connection only if the
 // body is absent or has GetBody.
@@ -17,14 +23,70 @@
 	io.ReadCloser
 }
 
-// singleUse makes the body of req single-use.
-func singleUse(req *http.Request) {
+// ErrBody is in the chain of errors that came from reading a request body, as
+// opposed to sending it.
+var ErrBody = errors.New("hop: request body")
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = fmt.Errorf("%w: %w", ErrBody, err)
+	}
+	return n, err
+}
+
+// singleUse makes the body of req single-use. It returns an error if a small
+// body cannot be read.
+func singleUse(req *http.Request) error {
 	req.GetBody = nil
-	if req.Body != nil && req.Body != http.NoBody {
-		req.Body = &body{req.Body}
-		return
+	switch req.Body {
+	case nil, http.NoBody:
+		noBody(req)
+	default:
+		if err := ReadSmall(req); err != nil {
+			return err
+		}
+		if s, ok := req.Body.(*small); ok {
+			req.Body = s.ReadCloser
+			// The body is in hand, so there is no reason to wait for leave to
+			// send it.
+			req.Header.Del("Expect")
+		} else {
+			req.Body = &body{req.Body}
+		}
+	}
+	return nil
+}
+
+// small is a body that was read into memory.
+type small struct {
+	io.ReadCloser
+}
+
+// ReadSmall reads the body of req into memory if its declared length is at most
+// 4 KiB, so that a slow caller holds up nothing behind it.
+func ReadSmall(req *http.Request) error {
+	if _, ok := req.Body.(*small); ok || req.ContentLength <= 0 || req.ContentLength > smallBody {
+		return nil
+	}
+	b := make([]byte, req.ContentLength)
+	_, err := io.ReadFull(req.Body, b)
+	req.Body.Close()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrBody, err)
 	}
-	req.Body = &body{http.NoBody}
+	req.Body = &small{inMemory(b)}
+	return nil
+}
+
+// inMemory returns a single-use body that net/http sends together with the
+// header. It knows such bodies by this type; being no http.NoBody, even an empty
+// one is not replayed.
+func inMemory(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
+
+func noBody(req *http.Request) {
+	req.Body = inMemory(nil)
 	req.ContentLength = 0
 	switch req.Method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch:
@@ -97,19 +159,3 @@
 		in.Body = http.MaxBytesReader(w, in.Body, maxBody)
 	}
 }
-
-// CountedBody counts the bytes read from a request body.
-type CountedBody struct {
-	io.ReadCloser
-	n atomic.Int64
-}
-
-// Read implements io.Reader.
-func (b *CountedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.n.Add(int64(n))
-	return n, err
-}
-
-// Count returns the number of bytes read so far.
-func (b *CountedBody) Count() int64 { return b.n.Load() }
