Refuse callers after a pause until the version is checked

TestPausedNode found 14 requests of 9,672 served with the version from before a pause of 4 s: requests that waited in the kernel were read before the next tick of the membership noticed the pause. Ready now compares the time of the due tick itself, which the tick moves on only after it has reset the readiness.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -45,7 +45,8 @@
 	state    *version.State
 	snapshot atomic.Pointer[config.Snapshot]
 
-	rmu       sync.Mutex // guards readiness
+	due       atomic.Pointer[time.Time] // when the member list is due, nil before the first tick
+	rmu       sync.Mutex                // guards readiness
 	readiness version.Readiness
 
 	ledger quota.Ledger // of the rates that this node owns
@@ -186,11 +187,21 @@
 // Ready reports whether this node holds the highest version known to it and
 // may serve.
 func (p *Peer) Ready() bool {
+	now := time.Now()
+	if d := p.due.Load(); d != nil && now.Sub(*d) > pauseLimit {
+		// The process was paused and tick has not run since. Requests that
+		// waited meanwhile can be read before it runs.
+		return false
+	}
 	p.rmu.Lock()
 	defer p.rmu.Unlock()
-	return p.readiness.Ready(time.Now(), p.Version())
+	return p.readiness.Ready(now, p.Version())
 }
 
+// pauseLimit is how late a tick may be before the process is taken to have been
+// paused, as in the member list.
+const pauseLimit = 2 * time.Second
+
 // SetEndpoint sets the endpoint of this node and spreads the change at once.
 func (p *Peer) SetEndpoint(s mesh.Service, slots int, e member.EndpointState) {
 	p.mu.Lock()
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -87,6 +87,7 @@
 		p.mu.Lock()
 		next := p.list.Next()
 		p.mu.Unlock()
+		p.due.Store(&next)
 		t.Reset(time.Until(next))
 	}
 }
