Cut bodies without a length in the truncation test

With the guard of hop.CopyResponse removed the test still passed, because net/http itself aborts a body that is shorter than its Content-Length. Bodies without a length are cut as well now, where only the guard aborts.

--- a/internal/standin/backend/doc.go
+++ b/internal/standin/backend/doc.go
@@ -11,6 +11,7 @@
 //	size   length of the response body in bytes
 //	depth  number of nested calls below this one, made through the node
 //	next   path of the nested call; the path of the request if empty
+//	chunked  a body without Content-Length
 //	host   host of the nested call; the host of the request if empty
 //
 // A path with the segment "content" names an immutable body, which is served
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -161,7 +161,9 @@
 	body := Body(r.Header.Get(mesh.RequestHeader), j.size)
 	h := w.Header()
 	h.Set("Content-Type", "application/octet-stream")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if !q.Has("chunked") {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	h.Set(DigestHeader, FormatDigest(body))
 	if r.Method == http.MethodHead {
 		return
@@ -170,6 +172,9 @@
 		abort(w, body[:j.truncate])
 	}
 	_, _ = w.Write(body)
+	if q.Has("chunked") {
+		_ = http.NewResponseController(w).Flush() // net/http sets the length of short bodies otherwise
+	}
 }
 
 func immutable(path string) bool {
--- a/internal/trial/response_test.go
+++ b/internal/trial/response_test.go
@@ -30,7 +30,9 @@
 	}
 	require.NoError(t, m.SetRelays(relay.Faults{Truncate: 150_000}))
 	a := audit(t, m, run("relay", "/stock?size=400000"))
-	t.Logf("bodies cut by the relay: %v", a)
+	require.Positive(t, a.Unknown)
+	// A cut body without a length looks complete unless its end is aborted.
+	a = audit(t, m, run("relay-chunked", "/stock?size=400000&chunked"))
 	require.Positive(t, a.Unknown)
 	resume(t, m, c)
 
@@ -38,9 +40,10 @@
 	for _, n := range m.Nodes {
 		require.NoError(t, n.Server().SetBehavior(t.Context(), backend.Behavior{Truncate: 5000}))
 	}
-	a = audit(t, m, run("server", "/stock?size=400000"))
-	t.Logf("bodies cut by the backend server: %v", a)
-	require.Zero(t, a.OK)
+	for _, q := range []string{"", "&chunked"} {
+		a = audit(t, m, run(fmt.Sprintf("server-%d", len(q)), "/stock?size=400000"+q))
+		require.Zero(t, a.OK)
+	}
 }
 
 // resume cuts downloads of immutable content between the nodes. The guides are
