Find the owner of a connection by both of its addresses

TestSource failed in 2 of 3 runs on a busy machine: the kernel lends one local port to connections with different remote addresses, and the first entry with the local address was another process's. TestProcess got an answer from a process that was told to stop but had not yet stopped.

--- a/internal/trial/harness_test.go
+++ b/internal/trial/harness_test.go
@@ -115,7 +115,7 @@
 	c, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	defer func() { require.NoError(t, c.Close()) }()
-	inode := socketInode(c.LocalAddr().(*net.TCPAddr))
+	inode := socketInode(c.LocalAddr().(*net.TCPAddr), l.Addr().String())
 	require.NotEmpty(t, inode)
 	require.True(t, ownsSocket(os.Getpid(), inode))
 	require.False(t, ownsSocket(os.Getppid(), inode))
--- a/internal/trial/node.go
+++ b/internal/trial/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"path/filepath"
 	"sync"
 
@@ -68,9 +69,9 @@
 }
 
 func (n *Node) startRelay(ctx context.Context) error {
-	cfg := relay.Config{Listen: listenAddr, Seed: n.m.cfg.Seed + uint64(n.Index), Source: n.m.sourceOf}
-	if n.m.cfg.NoSources {
-		cfg.Source = nil
+	cfg := relay.Config{Listen: listenAddr, Seed: n.m.cfg.Seed + uint64(n.Index)}
+	if !n.m.cfg.NoSources {
+		cfg.Source = func(client net.Addr) string { return n.m.sourceOf(client, n.Relay.Addr()) }
 	}
 	r, err := relay.New(cfg)
 	if err != nil {
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -9,7 +9,9 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -155,8 +157,34 @@
 	return nil
 }
 
-// Freeze stops the process with SIGSTOP; Resume continues it.
-func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+// Freeze stops the process with SIGSTOP and waits until all its threads have
+// stopped, which a busy machine delays; Resume continues it.
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for !p.Ended() && !p.stopped() {
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+// stopped reports whether every thread of p is in the stopped state.
+func (p *Process) stopped() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+	if err != nil {
+		return false
+	}
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		// The state follows the name, which is in parentheses.
+		_, state, _ := strings.Cut(string(b), ") ")
+		if err != nil || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Resume continues a frozen process with SIGCONT.
 func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
--- a/internal/trial/source.go
+++ b/internal/trial/source.go
@@ -15,8 +15,9 @@
 // sourceOf returns the name of the node that owns a client address of a relay,
 // or the IP address if no node of m does. Nodes send datagrams from their peer
 // address. Their connections come from kernel-assigned ports, so the owner is
-// found from the socket's inode.
-func (m *Mesh) sourceOf(client net.Addr) string {
+// found from the socket's inode. Relay is the address that the client connected
+// to.
+func (m *Mesh) sourceOf(client net.Addr, relay string) string {
 	switch a := client.(type) {
 	case *net.UDPAddr:
 		for _, n := range m.Nodes {
@@ -26,7 +27,7 @@
 		}
 		return a.IP.String()
 	case *net.TCPAddr:
-		if inode := socketInode(a); inode != "" {
+		if inode := socketInode(a, relay); inode != "" {
 			for _, n := range m.Nodes {
 				if p := n.Process(); p != nil && ownsSocket(p.PID(), inode) {
 					return n.Name
@@ -38,29 +39,39 @@
 	return client.String()
 }
 
-// socketInode returns the inode of the connected IPv4 TCP socket with the local
-// address a, or "".
-func socketInode(a *net.TCPAddr) string {
+// socketInode returns the inode of the connected IPv4 TCP socket with the given
+// local and remote addresses, or "". Both are needed, since the kernel lends one
+// local port to connections with different remote addresses.
+func socketInode(local *net.TCPAddr, remote string) string {
 	b, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
-	ip := a.IP.To4()
-	if ip == nil {
+	to, err := net.ResolveTCPAddr("tcp4", remote)
+	if err != nil {
 		return ""
 	}
-	// The kernel prints the address as a little-endian number.
-	local := fmt.Sprintf("%s:%04X", strings.ToUpper(hex.EncodeToString([]byte{ip[3], ip[2], ip[1], ip[0]})), a.Port)
+	from, rem := kernelAddr(local), kernelAddr(to)
 	const established = "01"
 	for line := range strings.Lines(string(b)) {
 		f := strings.Fields(line)
-		if len(f) > 9 && f[1] == local && f[3] == established {
+		if len(f) > 9 && f[1] == from && f[2] == rem && f[3] == established {
 			return f[9]
 		}
 	}
 	return ""
 }
 
+// kernelAddr returns a as the kernel prints it, with the IPv4 address as a
+// little-endian number, or "" for other addresses.
+func kernelAddr(a *net.TCPAddr) string {
+	ip := a.IP.To4()
+	if ip == nil {
+		return ""
+	}
+	return fmt.Sprintf("%s:%04X", strings.ToUpper(hex.EncodeToString([]byte{ip[3], ip[2], ip[1], ip[0]})), a.Port)
+}
+
 func ownsSocket(pid int, inode string) bool {
 	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
 	fds, err := os.ReadDir(dir)
