Lower the limit only on a second, unbiased look at the latency

The first samples after a start are those of the fastest requests, which set the baseline too low, and the samples that led to a reduction were chosen for being high, so that any later ones looked like its success. The first update after a start is now discarded, high latency is looked at again with fresh samples before the limit is lowered, and 48 samples decide.

--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -15,6 +15,9 @@
 	// baselineSamples is the least number of samples of a rank that are compared
 	// with its baseline; fewer are kept for the next update.
 	baselineSamples = 16
+	// judgeSamples is the least number of samples before and after a reduction
+	// that decide on its success.
+	judgeSamples = 48
 	// baselineWeight is the weight of a better latency in the baseline. The
 	// least of many noisy means would be far below the true latency.
 	baselineWeight = 0.3
@@ -51,9 +54,11 @@
 type phase uint8
 
 const (
-	steady   phase = iota
-	settling       // the limit was lowered; requests admitted before still end
-	judging        // shows whether the lower limit lowered the latency
+	starting phase = iota // only the fast ones of the first requests have ended
+	steady
+	confirming // the latency was high; a second look avoids acting on chance
+	settling   // the limit was lowered; requests admitted before still end
+	judging    // shows whether the lower limit lowered the latency
 )
 
 // limiter is the adaptive concurrency limit.
@@ -92,7 +97,7 @@
 // restart forgets the adapted limit and starts the ramp.
 func (l *limiter) restart(now time.Duration) {
 	l.started, l.updated = now, now
-	l.value, l.restore, l.phase, l.doubted = float64(l.slots), 0, steady, false
+	l.value, l.restore, l.phase, l.doubted = float64(l.slots), 0, starting, false
 }
 
 // setSlots changes the announced slots and keeps the share of them in use.
@@ -133,6 +138,11 @@
 	}
 	s := slowness(ranks, since.Seconds())
 	switch l.phase {
+	case starting:
+		l.phase = steady
+		forgetSamples(ranks, true)
+	case confirming:
+		l.confirm(ranks, s)
 	case settling:
 		l.phase = judging
 		forgetSamples(ranks, true)
@@ -151,7 +161,9 @@
 	case !l.busy:
 		l.restore = 0
 	case s > tolerance:
-		l.reduce(ranks, s)
+		l.phase = confirming
+		forgetSamples(ranks, true)
+		return
 	default:
 		l.restore = 0
 		l.value = min(l.value+growth*math.Sqrt(l.value), float64(l.slots))
@@ -159,6 +171,26 @@
 	forgetSamples(ranks, false)
 }
 
+// confirm lowers the limit if the latency is still high. The samples that led
+// here are not used again: they were chosen for being high, so that any later
+// ones would look like a success of the reduction.
+func (l *limiter) confirm(ranks []*rank, s float64) {
+	n := 0
+	for _, r := range ranks {
+		if r.latency.known() {
+			n += r.latency.n
+		}
+	}
+	switch {
+	case n < judgeSamples:
+	case s > tolerance && l.busy:
+		l.reduce(ranks, s)
+	default:
+		l.phase, l.restore = steady, 0
+		forgetSamples(ranks, false)
+	}
+}
+
 // reduce lowers the limit because of slowness s.
 func (l *limiter) reduce(ranks []*rank, s float64) {
 	if l.restore == 0 {
@@ -175,16 +207,18 @@
 }
 
 // judge takes the last reduction back unless the latency of the ranks that led
-// to it has fallen. It waits until at least one of them is known again.
+// to it has fallen. It waits until enough of their samples are in.
 func (l *limiter) judge(ranks []*rank, s float64) {
 	var was, is float64
+	n := 0
 	for _, r := range ranks {
 		if b := &r.latency; b.known() && b.then > 0 {
 			was += b.then * float64(b.n)
 			is += b.sum
+			n += b.n
 		}
 	}
-	if was == 0 {
+	if n < judgeSamples {
 		return
 	}
 	l.phase = steady
