Do not spread the adopted view; exchange views soon after joining

A joiner queued every member of the view it was given and sent each about 3 x log2(n) times, although all others knew them: at 2,500 members one restart meant over half an hour of full datagrams from that node. Adopt takes the first view in without queueing it.

Alone this made 1 of about 1,000 random runs miss a member that joined at the same moment, since the redundant copies had covered it.

--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -46,6 +46,11 @@
 	spreadFactor = 3
 	// defaultBudget is the space for updates in one datagram, in bytes.
 	defaultBudget = 1200
+	// firstSync is the time from joining to the first exchange of views with
+	// another member, which repairs what nodes that joined together missed of
+	// each other. The time doubles up to lastSync.
+	firstSync = 5 * time.Second
+	lastSync  = time.Minute
 	// minSuspicion is the shortest time from suspicion to death.
 	minSuspicion = 2 * time.Second
 )
@@ -90,6 +95,12 @@
 	return max(time.Duration(s*float64(time.Second)), minSuspicion)
 }
 
+// SyncAfter returns the time to the next exchange of views with a random
+// member, given the time before the last one, or 0 for a node that joined.
+func SyncAfter(last time.Duration) time.Duration {
+	return min(max(2*last, firstSync), lastSync)
+}
+
 // transmissions returns how often one node sends an update among n members.
 func transmissions(n int) int {
 	return spreadFactor * int(math.Ceil(math.Log2(float64(n+2))))
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -49,6 +49,7 @@
 
 	counts  Counts
 	changes uint64
+	joining bool // the first view is being taken in
 }
 
 // New returns the view of a node that knows no other member.
--- a/internal/core/member/merge.go
+++ b/internal/core/member/merge.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// Adopt is Merge for the view that this node asked another one for. A node
+// that knew nobody does not spread it, since the others know it.
+func (l *List) Adopt(now time.Time, us []Update) {
+	l.joining = l.live == 0
+	l.Merge(now, us)
+	l.joining = false
+}
+
 // take merges one update into the view.
 func (l *List) take(now time.Time, u Update) {
 	if u.ID == "" || u.Status > Left || u.Endpoint > Unhealthy {
@@ -125,7 +133,9 @@
 		l.schedule(u.ID)
 	}
 	l.changes++
-	l.enqueue(now, u.ID)
+	if !l.joining {
+		l.enqueue(now, u.ID)
+	}
 }
 
 func (l *List) dropAddr(m Member) {
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -19,9 +19,6 @@
 	joinJitter = 200 * time.Millisecond
 	joinBase   = 250 * time.Millisecond
 	joinLimit  = 15 * time.Second
-	// syncPeriod is the mean time between two exchanges with a random member,
-	// which repair updates that were lost.
-	syncPeriod = time.Minute
 	// mergePeriod is the mean time between two attempts to reach addresses
 	// from the settings or the table that are not known as members.
 	mergePeriod = 30 * time.Second
@@ -112,7 +109,8 @@
 // keepSynced exchanges views with random members, and tries to reach nodes
 // outside the view so that the sides of a partition find each other again.
 func (p *Peer) keepSynced(ctx context.Context) error {
-	routine := time.NewTimer(p.untilSync())
+	wait := member.SyncAfter(0)
+	routine := time.NewTimer(p.untilSync(wait))
 	merge := time.NewTimer(jitter(mergePeriod))
 	defer routine.Stop()
 	defer merge.Stop()
@@ -124,7 +122,8 @@
 			p.syncOne(ctx)
 		case <-routine.C:
 			p.syncOne(ctx)
-			routine.Reset(p.untilSync())
+			wait = member.SyncAfter(wait)
+			routine.Reset(p.untilSync(wait))
 		case <-merge.C:
 			p.mergeOnce(ctx)
 			merge.Reset(jitter(mergePeriod))
@@ -132,11 +131,11 @@
 	}
 }
 
-// untilSync returns the time to the next exchange. A node that is not ready
-// asks often, since it waits for the answer of a ready peer.
-func (p *Peer) untilSync() time.Duration {
+// untilSync returns the time to the next exchange, about wait. A node that is
+// not ready asks often, since it waits for the answer of a ready peer.
+func (p *Peer) untilSync(wait time.Duration) time.Duration {
 	if p.Ready() {
-		return jitter(syncPeriod)
+		return jitter(wait)
 	}
 	return jitter(readPeriod)
 }
@@ -207,7 +206,7 @@
 	}
 	now := time.Now()
 	p.mu.Lock()
-	p.list.Merge(now, us)
+	p.list.Adopt(now, us)
 	send := lacking(p.list.In(now, buckets(r.GetBuckets())), us)
 	back := p.syncRequest()
 	p.mu.Unlock()
