Fetch from another member when the hinted one does not answer

A hint may name a node that has just stopped, and its 5 s time-out held up all later hints. The first request now has 2 s, and a random live member is asked next. Requests between nodes may be repeated, so the transport may also replay one on a connection that the other side closed while idle.

--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -81,7 +81,9 @@
 	c := r.Clone(r.Context())
 	c.Body = io.NopCloser(bytes.NewReader(body))
 	c.ContentLength = int64(len(body))
-	c.GetBody = nil
+	// All requests between nodes may be repeated, so the transport may send
+	// one again when a reused connection turns out to be closed.
+	c.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
 	t.signer.sign(c, time.Now(), body)
 	return t.next.RoundTrip(c)
 }
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -18,6 +18,9 @@
 
 const (
 	fetchTimeout = 5 * time.Second
+	// deltaTimeout bounds a request that a delta or a manifest answers. It is
+	// short because a hint may name a node that has just stopped.
+	deltaTimeout = 2 * time.Second
 	// pushWait is the mean wait for a push on its way before a version that a
 	// message showed is fetched.
 	pushWait = 150 * time.Millisecond
@@ -63,10 +66,7 @@
 				continue
 			}
 		}
-		p.stats.fetches.Add(h.reason, 1)
-		if err := p.fetch(ctx, h); err != nil {
-			p.stats.fetches.Add("failed", 1)
-			p.log.Debug("fetch failed", zap.String("node", string(h.from.ID)), zap.Error(err))
+		if !p.fetchFrom(ctx, h) {
 			failures++
 			if sleep(ctx, backoff(failures, pushWait, fetchTimeout)) != nil {
 				return nil
@@ -77,6 +77,22 @@
 	}
 }
 
+// fetchFrom fetches from the member that h names, and from a random one if
+// that fails. It reports whether a fetch succeeded.
+func (p *Peer) fetchFrom(ctx context.Context, h hint) bool {
+	p.stats.fetches.Add(h.reason, 1)
+	for _, m := range append([]member.Member{h.from}, p.someAlive(1)...) {
+		h.from = m
+		err := p.fetch(ctx, h)
+		if err == nil && p.Version() >= h.version {
+			return true
+		}
+		p.stats.fetches.Add("failed", 1)
+		p.log.Debug("fetch failed", zap.String("node", string(m.ID)), zap.Error(err))
+	}
+	return false
+}
+
 // fetch brings this node to the version of another member: by a delta, or by
 // the complete manifest if there is none or it is refused.
 func (p *Peer) fetch(ctx context.Context, h hint) error {
@@ -84,7 +100,7 @@
 	if h.whole {
 		have = 0
 	}
-	a, err := call(ctx, p, "fetch", fetchTimeout, p.at(h.from.Addr).Fetch, &peerpb.FetchRequest{Have: uint64(have)})
+	a, err := call(ctx, p, "fetch", deltaTimeout, p.at(h.from.Addr).Fetch, &peerpb.FetchRequest{Have: uint64(have)})
 	if err != nil {
 		return err
 	}
