Cover requests behind the gate of a stopping node

With the drain of the gate removed from the node's stop, TestDrain still passed, because its one request came in through the same node. It now also holds requests of another node behind that gate and requires that none is a second attempt.

--- a/internal/trial/drain_test.go
+++ b/internal/trial/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,16 +49,7 @@
 	require.NoError(t, first.StartServer(t.Context()))
 	require.NoError(t, m.WaitEndpoints(within(t, 10*time.Second), len(m.Nodes)))
 
-	// Requests that came in through the stopping node and that run behind its
-	// gate both finish.
-	inside := make(chan Result)
-	go func() {
-		inside <- c.Call(within(t, 10*time.Second), m.Nodes[1], Request{Host: host, Path: "/stock?time=2s", ID: "inside", Idempotent: true})
-	}()
-	holder(t, m, "inside")
-	require.NoError(t, m.Nodes[1].Process().Stop(within(t, 15*time.Second)))
-	r = <-inside
-	require.True(t, r.OK(), failures([]Result{r}))
+	stopNode(t, m, c)
 	time.Sleep(500 * time.Millisecond)
 	cancel()
 	results := <-done
@@ -76,6 +68,43 @@
 	t.Logf("%d requests; %d started on the draining backend server, all within 2 s", len(results), countDraining(runs))
 }
 
+// stopNode stops node 1 while requests that came in through it, and requests of
+// node 3 that run behind its gate, are in flight. Both must finish.
+func stopNode(t *testing.T, m *Mesh, c *Caller) {
+	const count = 8
+	results := make(chan Result, 2*count)
+	for i := range count {
+		for _, n := range []*Node{m.Nodes[1], m.Nodes[3]} {
+			go func() {
+				results <- c.Call(within(t, 10*time.Second), n, Request{Host: host, Path: "/stock?time=2s", ID: mesh.RequestID(fmt.Sprintf("%s-%d", n.Name, i)), Idempotent: true})
+			}()
+		}
+	}
+	for i := range count {
+		holder(t, m, mesh.RequestID(fmt.Sprintf("node-1-%d", i)))
+		holder(t, m, mesh.RequestID(fmt.Sprintf("node-3-%d", i)))
+	}
+	behind := 0
+	for _, e := range journal(t, m.Nodes[1].Server()) {
+		if strings.HasPrefix(string(e.Request), "node-3-") {
+			behind++
+		}
+	}
+	require.Positive(t, behind, "no request of node 3 runs behind the gate of node 1")
+	require.NoError(t, m.Nodes[1].Process().Stop(within(t, 15*time.Second)))
+	for range 2 * count {
+		r := <-results
+		require.True(t, r.OK(), failures([]Result{r}))
+	}
+	runs, err := m.Executions()
+	require.NoError(t, err)
+	for _, e := range runs {
+		if strings.HasPrefix(string(e.Request), "node-") {
+			require.Equal(t, "1", e.Attempt, "request %s was interrupted and repeated", e.Request)
+		}
+	}
+}
+
 // holder waits until a backend server runs the request and returns its node.
 func holder(t *testing.T, m *Mesh, id mesh.RequestID) *Node {
 	t.Helper()
