Let requests behind a stopping gate end last

The test passed without the drain of the gate because the callers of the same node kept it up as long. The requests behind the gate now take longer than those.

--- a/internal/trial/drain_test.go
+++ b/internal/trial/drain_test.go
@@ -74,9 +74,10 @@
 	const count = 8
 	results := make(chan Result, 2*count)
 	for i := range count {
-		for _, n := range []*Node{m.Nodes[1], m.Nodes[3]} {
+		// Those behind the gate end last, when nothing else keeps the node up.
+		for n, path := range map[*Node]string{m.Nodes[1]: "/stock?time=1500ms", m.Nodes[3]: "/stock?time=4s"} {
 			go func() {
-				results <- c.Call(within(t, 10*time.Second), n, Request{Host: host, Path: "/stock?time=2s", ID: mesh.RequestID(fmt.Sprintf("%s-%d", n.Name, i)), Idempotent: true})
+				results <- c.Call(within(t, 10*time.Second), n, Request{Host: host, Path: path, ID: mesh.RequestID(fmt.Sprintf("%s-%d", n.Name, i)), Idempotent: true})
 			}()
 		}
 	}
