--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -13,7 +13,6 @@
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/hop"
-	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -29,7 +28,7 @@
 	endpoint mesh.Addr
 	pools    *hop.Pools
 	bulk     bool
-	latency  time.Duration // time to the response header
+	latency  time.Duration // time to the response header, 0 if it says nothing about load
 	notRun   func()        // called before an answer that says not run; may be nil
 }
 
@@ -206,7 +205,6 @@
 	if e := c.Refusal(); e != nil {
 		return e
 	}
-	g.forwarding.Add(1)
 	return nil
 }
 
@@ -278,7 +276,6 @@
 
 // leave gives the slot of c back.
 func (g *Gate) leave(c *call) {
-	g.forwarding.Add(-1)
 	g.mu.Lock()
 	g.decide(g.machine.Done(time.Now(), &c.Ticket, c.latency))
 	g.checkIdle()
@@ -295,19 +292,18 @@
 	g.decide(g.machine.SetRanks(now, s.Ranks))
 }
 
+// isBulk reports whether r is a bulk rank. A rank that the configuration lacks
+// is treated as the least urgent one, as in admission.
 func (g *Gate) isBulk(r mesh.Rank) bool {
-	return g.snapshot != nil && policyOf(g.snapshot, r).Bulk
-}
-
-// policyOf returns the policy of r, or that of the least urgent rank.
-func policyOf(s *config.Snapshot, r mesh.Rank) config.RankPolicy {
-	if i, ok := s.RankIndex(r); ok {
-		return s.Ranks[i]
+	if g.snapshot == nil || len(g.snapshot.Ranks) == 0 {
+		return false
 	}
-	if n := len(s.Ranks); n > 0 {
-		return s.Ranks[n-1]
+	i, ok := g.snapshot.RankIndex(r)
+	if !ok {
+		g.figures.unknown.Add(1)
+		i = len(g.snapshot.Ranks) - 1
 	}
-	return config.RankPolicy{}
+	return g.snapshot.Ranks[i].Bulk
 }
 
 // forward sends the admitted c to the backend server.
@@ -325,7 +321,10 @@
 	if err != nil {
 		return nil, g.failure(ctx, c, sent, err)
 	}
-	c.latency = time.Since(start)
+	if resp.StatusCode < http.StatusInternalServerError {
+		// Errors come faster than work is done and would set a false baseline.
+		c.latency = time.Since(start)
+	}
 	g.answered(c.endpoint)
 	return g.checkAnswer(c, resp)
 }
@@ -394,7 +393,9 @@
 	g.setPressure(w)
 	hop.CopyResponse(w, resp)
 	ok = true
-	g.figures.service.record(c.Rank, c.latency)
+	if c.latency > 0 {
+		g.figures.service.record(c.Rank, c.latency)
+	}
 }
 
 // refuse answers c with e.
