--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -1,55 +1,20 @@
 package hop
 
 import (
-	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// cutter is a server that answers the first request of each connection and
-// closes the connection on reading any later one.
-func cutter(t *testing.T) (addr string, requests *atomic.Int64) {
-	t.Helper()
-	requests = new(atomic.Int64)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for first := true; ; first = false {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					requests.Add(1)
-					if !first {
-						return
-					}
-					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), requests
-}
-
 // exchange sends req and reads the answer to its end.
 func exchange(ctx context.Context, tr *Transport, req *http.Request) (Sent, error) {
 	resp, sent, err := tr.RoundTrip(ctx, req)
@@ -75,7 +40,7 @@
 		{"delete with key", http.MethodDelete, "", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			addr, n := cutter(t)
+			addr, n := raw(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			tr := New(Config{})
 			defer tr.CloseIdle()
 			send := func() (Sent, error) {
@@ -132,3 +97,29 @@
 	require.Zero(t, n)
 	require.ErrorIs(t, err, errSealed)
 }
+
+// TestCancelRace guards against a request that reaches the peer although it was
+// reported as not sent, when it is cancelled at any moment of its sending.
+func TestCancelRace(t *testing.T) {
+	var seen sync.Map
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen.Store(r.URL.Path, true) }))
+	tr := New(Config{})
+	var unsent []string
+	for i := range 3000 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%300)*time.Microsecond)
+		path := fmt.Sprint("/", i)
+		req, err := http.NewRequest(http.MethodPost, s.URL+path, strings.NewReader("x"))
+		require.NoError(t, err)
+		if sent, err := exchange(ctx, tr, req); err != nil && sent == NothingSent {
+			unsent = append(unsent, path)
+		}
+		cancel()
+	}
+	tr.CloseIdle()
+	s.Close() // waits for requests in flight
+	require.NotEmpty(t, unsent)
+	for _, path := range unsent {
+		_, ran := seen.Load(path)
+		require.False(t, ran, "request %s ran but was reported as not sent", path)
+	}
+}
