Report the demand of client accounts from the gate

The caller side corrects its rate shares by the Lavenderrill-Demand header, which no gate sent yet. The gate now counts each client account and route and reports its rate on every response; a header of that name from a backend server is removed.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -80,6 +80,7 @@
 	log     *zap.Logger
 	figures *figures
 	claims  *claims
+	demand  demand
 	recent  *recent
 
 	mu       sync.Mutex // guards the fields below
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -48,6 +48,7 @@
 		g.refuse(w, c, e)
 		return
 	}
+	g.demand.report(w, c, time.Now())
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	if e := g.readBody(w, r, c); e != nil {
@@ -377,6 +378,7 @@
 	}()
 	h := resp.Header
 	h.Del(mesh.PressureHeader)
+	h.Del(mesh.DemandHeader)
 	if resp.StatusCode == http.StatusServiceUnavailable && h.Get(fault.RunHeader) == string(fault.NotRun) {
 		if h.Get(fault.KindHeader) == "" {
 			h.Set(fault.KindHeader, string(fault.Overloaded))
--- a/internal/caller/both_test.go
+++ b/internal/caller/both_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -132,6 +133,29 @@
 	require.Greater(t, answered.Load(), int64(requests/2))
 }
 
+// TestDemandReported guards against a gate that does not report the demand that
+// rate limits are corrected by, or passes on one that a backend server forged.
+func TestDemandReported(t *testing.T) {
+	g, _ := newReal(t, "e1", metric.New(), func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(mesh.DemandHeader, "999") })
+	for i := range 3 {
+		r, err := http.NewRequest("GET", g.URL+"/limited", nil)
+		require.NoError(t, err)
+		for k, v := range map[string]string{
+			mesh.HopHeader: testToken, mesh.RequestHeader: "r", mesh.AttemptHeader: strconv.Itoa(i), mesh.RankHeader: "urgent",
+			mesh.AccountHeader: "acc", mesh.ServiceHeader: "s", mesh.RouteHeader: "limited", mesh.DeadlineHeader: "1000",
+		} {
+			r.Header.Set(k, v)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Len(t, resp.Header[mesh.DemandHeader], 1)
+		v, err := strconv.ParseFloat(resp.Header.Get(mesh.DemandHeader), 64)
+		require.NoError(t, err)
+		require.InDelta(t, 0.5*float64(i+1), v, 0.3)
+	}
+}
+
 // TestLargeUpload guards the streaming of a large body through both hops, which
 // waits for the gate to ask for it.
 func TestLargeUpload(t *testing.T) {
