Report not run only if no earlier attempt may have run

An idempotent request whose first attempt broke and whose second one was refused got the refusal of the second, not run, although the first may have run. Such a request now ends as outcome_unknown, also with hedges.

A last known endpoint that failed is tried again within 5 s only if nothing else is left, since a dead one costs an urgent request the dial time-out. Failures seen while an endpoint is doubtful no longer count towards its ejection after it has returned.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -25,13 +25,14 @@
 	ctx      context.Context    // ends at the deadline
 	cancel   context.CancelFunc // of the deadline
 
-	body     body
-	bodied   bool // a request body exists
-	attempts int
-	tried    []*route.Endpoint
-	room     [3]*route.Endpoint // backs tried
-	losers   []context.CancelFunc
-	resume   *resumption // set while the rest of a cut response is requested
+	body       body
+	bodied     bool // a request body exists
+	attempts   int
+	tried      []*route.Endpoint
+	room       [3]*route.Endpoint // backs tried
+	mayHaveRun bool               // a failed attempt may have run
+	losers     []context.CancelFunc
+	resume     *resumption // set while the rest of a cut response is requested
 }
 
 // end releases what the request holds.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -126,15 +126,10 @@
 		{"other request, idempotent", otherID, "/read", "", true, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			first := newGate(t, "e1", c.first)
+			b, first, second := newPair(t, c.first, echo)
 			if c.first == nil {
 				first.Close()
 			}
-			second := newGate(t, "e2", echo)
-			m := second.member()
-			m.Zone = "b" // so that e1 comes first
-			b := newBench(t, first)
-			b.SetMembers([]member.Member{first.member(), m})
 			a := b.do("POST", c.path, "payload", mesh.DepthHeader, c.depth)
 			if c.retry {
 				require.Equal(t, 200, a.code)
@@ -148,6 +143,18 @@
 	}
 }
 
+// TestNotRunIsTrue guards against a refusal that says not run because the last
+// attempt did not, although an earlier one may have.
+func TestNotRunIsTrue(t *testing.T) {
+	for _, path := range []string{"/read", "/hedge"} {
+		b, _, second := newPair(t, cut, refusing(fault.Overloaded))
+		a := b.do("POST", path, "x")
+		require.EqualValues(t, 1, second.hits.Load())
+		require.Equal(t, fault.OutcomeUnknown, a.kind())
+		require.Equal(t, fault.Unknown, a.run())
+	}
+}
+
 // TestCrossedCounted guards against a crossed response that is not counted.
 func TestCrossedCounted(t *testing.T) {
 	b := newBench(t, newGate(t, "e1", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(mesh.RequestHeader, "other") }))
@@ -186,11 +193,7 @@
 		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			first, second := newGate(t, "e1", c.first), newGate(t, "e2", echo)
-			m := second.member()
-			m.Zone = "b"
-			b := newBench(t, first)
-			b.SetMembers([]member.Member{first.member(), m})
+			b, _, second := newPair(t, c.first, echo)
 			a := b.do("POST", "/read", big)
 			if c.ok {
 				require.Equal(t, 200, a.code)
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -25,11 +25,20 @@
 	}
 	c.throttles.Done(q.route.Service, q.rank(), !refusedForLoad(a.fault), time.Now())
 	if a.fault != nil {
-		return nil, a.fault
+		return nil, q.outcome(a.fault)
 	}
 	return a, nil
 }
 
+// outcome returns the refusal of q whose last attempt ended with e. An earlier
+// attempt that may have run makes a refusal that says not run untrue.
+func (q *call) outcome(e *fault.Error) *fault.Error {
+	if e.Run != fault.NotRun || !q.mayHaveRun {
+		return e
+	}
+	return fault.Newf(fault.OutcomeUnknown, "an earlier attempt may have run; the last one: %w", e)
+}
+
 // refusedForLoad reports whether e says that the gate has no capacity for the
 // rank.
 func refusedForLoad(e *fault.Error) bool {
@@ -52,6 +61,7 @@
 		if a.fault == nil {
 			return a
 		}
+		q.note(a)
 		if !c.decide(q, a, b) {
 			return a
 		}
@@ -59,6 +69,11 @@
 	}
 }
 
+// note records that the failed attempt a may have run.
+func (q *call) note(a *attempt) {
+	q.mayHaveRun = q.mayHaveRun || a.fault.Run != fault.NotRun
+}
+
 // noEndpoint returns the outcome when no endpoint is left: that of the last
 // attempt, if any.
 func (c *Caller) noEndpoint(last *attempt) *attempt {
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -119,6 +119,17 @@
 	return &bench{Caller: c, t: t, url: "http://" + l.Addr().String(), reg: reg}
 }
 
+// newPair returns a bench with two gates, of which the first one is in the
+// caller's availability zone and so comes first.
+func newPair(t testing.TB, first, second http.HandlerFunc) (b *bench, g1, g2 *gate) {
+	g1, g2 = newGate(t, "e1", first), newGate(t, "e2", second)
+	m := g2.member()
+	m.Zone = "b"
+	b = newBench(t)
+	b.SetMembers([]member.Member{g1.member(), m})
+	return b, g1, g2
+}
+
 // answer is a response that was read to its end.
 type answer struct {
 	code   int
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"lavenderrill.dev/lavenderrill/internal/core/route"
-
 	"lavenderrill.dev/lavenderrill/internal/core/retry"
+	"lavenderrill.dev/lavenderrill/internal/core/route"
 )
 
 // mayHedge reports whether a second attempt may start before the first one
@@ -64,6 +63,7 @@
 				return r.attempt
 			}
 			r.cancel()
+			q.note(r.attempt)
 			if len(live) > 0 {
 				continue
 			}
--- a/internal/caller/resume_test.go
+++ b/internal/caller/resume_test.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"lavenderrill.dev/lavenderrill/internal/core/member"
 )
 
 // content serves body under an entity tag and cuts each response after at most
@@ -58,33 +56,28 @@
 	whole := func(w http.ResponseWriter, r *http.Request) { r.Header.Del("Range"); content(body, `"v1"`, 0)(w, r) }
 	for name, c := range map[string]struct {
 		first, second http.HandlerFunc
-		path          string
 		header        []string
 		ok            bool
 	}{
-		"resumed":             {content(body, `"v1"`, 100<<10), content(body, `"v1"`, 0), "/guide", nil, true},
-		"resumed twice":       {content(body, `"v1"`, 100<<10), content(body, `"v1"`, 150<<10), "/guide", nil, true},
-		"cut at once":         {content(body, `"v1"`, 1), content(body, `"v1"`, 0), "/guide", nil, true},
-		"other version":       {content(body, `"v1"`, 100<<10), content(other, `"v2"`, 0), "/guide", nil, false},
-		"weak tag":            {content(body, `W/"v1"`, 100<<10), content(body, `W/"v1"`, 0), "/guide", nil, false},
-		"no tag":              {content(body, "", 100<<10), content(body, "", 0), "/guide", nil, false},
-		"range of the caller": {content(body, `"v1"`, 100<<10), content(body, `"v1"`, 0), "/guide", []string{"Range", "bytes=5-"}, false},
-		"failed":              {content(body, `"v1"`, 100<<10), refuse, "/guide", nil, false},
-		"whole again":         {content(body, `"v1"`, 100<<10), whole, "/guide", nil, false},
+		"resumed":             {content(body, `"v1"`, 100<<10), content(body, `"v1"`, 0), nil, true},
+		"resumed twice":       {content(body, `"v1"`, 100<<10), content(body, `"v1"`, 150<<10), nil, true},
+		"cut at once":         {content(body, `"v1"`, 1), content(body, `"v1"`, 0), nil, true},
+		"other version":       {content(body, `"v1"`, 100<<10), content(other, `"v2"`, 0), nil, false},
+		"weak tag":            {content(body, `W/"v1"`, 100<<10), content(body, `W/"v1"`, 0), nil, false},
+		"no tag":              {content(body, "", 100<<10), content(body, "", 0), nil, false},
+		"range of the caller": {content(body, `"v1"`, 100<<10), content(body, `"v1"`, 0), []string{"Range", "bytes=5-"}, false},
+		"failed":              {content(body, `"v1"`, 100<<10), refuse, nil, false},
+		"whole again":         {content(body, `"v1"`, 100<<10), whole, nil, false},
 		"wrong range": {content(body, `"v1"`, 100<<10), func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Etag", `"v1"`)
 			w.Header().Set("Content-Range", fmt.Sprintf("bytes %d-%d/%d", 10, len(body)-1, len(body)))
 			w.WriteHeader(http.StatusPartialContent)
 			_, _ = w.Write(body[10:])
-		}, "/guide", nil, false},
+		}, nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			first, second := newGate(t, "e1", c.first), newGate(t, "e2", c.second)
-			m := second.member()
-			m.Zone = "b"
-			b := newBench(t, first)
-			b.SetMembers([]member.Member{first.member(), m})
-			a := b.do("GET", c.path, "", c.header...)
+			b, _, _ := newPair(t, c.first, c.second)
+			a := b.do("GET", "/guide", "", c.header...)
 			if c.ok {
 				require.NoError(t, a.err)
 				require.True(t, string(body) == a.body, "body differs")
--- a/internal/core/route/eject.go
+++ b/internal/core/route/eject.go
@@ -31,6 +31,10 @@
 	// drainHold is the time for which a refusal with draining counts, unless
 	// membership reports a newer incarnation.
 	drainHold = 10 * time.Second
+
+	// cautiousHold is the time for which a last known endpoint that failed is
+	// tried only if no other endpoint is left.
+	cautiousHold = 5 * time.Second
 )
 
 // Outcome says how an attempt ended, as far as it tells of the endpoint.
--- a/internal/core/route/endpoint.go
+++ b/internal/core/route/endpoint.go
@@ -53,7 +53,8 @@
 
 	drainedUntil time.Time // the gate refused with draining
 	ejectedUntil time.Time
-	probing      bool // back from ejection, not yet proved: one request at a time
+	failedUntil  time.Time // failed while doubtful
+	probing      bool      // back from ejection, not yet proved: one request at a time
 }
 
 // score orders endpoints: the share of the slots that this node would use,
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -168,7 +168,7 @@
 		}
 	}
 	if svc.mass && (e == nil || e.pressed(rank, now)) {
-		if d := p.cautious(svc.doubtful, tried); d != nil {
+		if d := p.cautious(svc.doubtful, tried, e == nil, now); d != nil {
 			e = d
 		}
 	}
@@ -216,9 +216,9 @@
 	return (!e.probing || e.inflight == 0) && !slices.Contains(tried, e)
 }
 
-// cautious returns a last known endpoint without request in flight, if
-// possible one that did not fail last.
-func (p *Picker) cautious(es []*Endpoint, tried []*Endpoint) *Endpoint {
+// cautious returns a last known endpoint without request in flight that did not
+// fail lately. With must it returns one that did if there is no other.
+func (p *Picker) cautious(es []*Endpoint, tried []*Endpoint, must bool, now time.Time) *Endpoint {
 	n := len(es)
 	if n == 0 {
 		return nil
@@ -230,10 +230,10 @@
 		if e.inflight > 0 || slices.Contains(tried, e) {
 			continue
 		}
-		if e.obs.inRow == 0 {
+		if !now.Before(e.failedUntil) {
 			return e
 		}
-		if second == nil || e.obs.inRow < second.obs.inRow {
+		if must && second == nil {
 			second = e
 		}
 	}
@@ -259,7 +259,14 @@
 	if now.Before(e.ejectedUntil) {
 		return false // began before the ejection, so it tells nothing new
 	}
-	if !s.observe(e, out, rank, latency) || e.class != healthy {
+	if e.class != healthy {
+		e.failedUntil = time.Time{}
+		if out == Failed {
+			e.failedUntil = now.Add(cautiousHold)
+		}
+		return false
+	}
+	if !s.observe(e, out, rank, latency) {
 		return false
 	}
 	if !s.eject(e, now) {
--- a/internal/core/route/picker_test.go
+++ b/internal/core/route/picker_test.go
@@ -250,6 +250,21 @@
 		require.Equal(t, 1, v.InFlight)
 	}
 
+	// One that failed is not tried while a healthy one is left, though busy.
+	p = newPicker(members(3, func(i int, m *member.Member) {
+		if m.Slots = 1; i < 2 {
+			m.Status = member.Dead
+		}
+	}))
+	seen := make(map[mesh.NodeID]int)
+	require.Equal(t, mesh.NodeID("e2"), p.Pick("s", "urgent", nil, start).ID)
+	for range 10 {
+		e := p.Pick("s", "urgent", nil, start)
+		seen[e.ID]++
+		p.Done(e, Failed, "urgent", 0, start)
+	}
+	require.Equal(t, map[mesh.NodeID]int{"e0": 1, "e1": 1, "e2": 8}, seen)
+
 	// While at least half are healthy, the others get nothing.
 	p = newPicker(members(4, func(i int, m *member.Member) {
 		if i < 2 {
