Sample the gates in small meshes

A flood that stays below the capacity has either a lowered concurrency limit or too few requests at the gates. The limit, the requests in flight and the queue are sampled each second, only up to 10 nodes, since reading counters costs the nodes CPU time that the report attributes to them.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -31,6 +31,7 @@
 	// and retries included. It misses those of servers that were killed.
 	Arrivals int64    `json:"arrivals"`
 	Platform Platform `json:"platform"`
+	Gates    *Gates   `json:"gates,omitempty"`
 	// OtherCPU is the mean number of cores that other programs of the machine
 	// used. Above 0 they may have disturbed the figures.
 	OtherCPU float64          `json:"other_cpu"`
@@ -140,6 +141,14 @@
 	s.Max = max(s.Max, v)
 }
 
+// Gates is the state of the gates in a phase, sampled each second.
+type Gates struct {
+	Limit    float64 `json:"limit"`     // mean concurrency limit
+	Least    float64 `json:"least"`     // lowest concurrency limit of any gate
+	InFlight float64 `json:"in_flight"` // mean
+	Queued   float64 `json:"queued"`    // mean
+}
+
 // Platform is the use of the platform in a phase, in requests.
 type Platform struct {
 	Reads     int64   `json:"reads"`
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -107,6 +108,9 @@
 		others.Go(func() { events[i] = c.happen(inner, e, begin) })
 	}
 	others.Go(func() { r.Platform = c.watchPlatform(inner) })
+	if len(p.Load) > 0 && len(c.Nodes) <= gateNodes {
+		others.Go(func() { r.Gates = c.watchGates(inner) })
+	}
 	var edits []edited
 	if p.Edits != nil {
 		ed := &editor{c: c, edits: *p.Edits, seed: c.x.Seed}
@@ -163,3 +167,35 @@
 	p.Reads, p.Writes = r-firstReads, w-firstWrites
 	return p
 }
+
+// gateNodes is the size of the largest mesh whose gates are sampled each
+// second, since reading the counters costs the nodes CPU time.
+const gateNodes = 10
+
+// watchGates samples the gates until ctx ends.
+func (c *cluster) watchGates(ctx context.Context) *Gates {
+	g := &Gates{Least: math.Inf(1)}
+	n := 0.0
+	for pause(ctx, time.Second) == nil {
+		for _, node := range c.Nodes {
+			var v struct {
+				Limit    float64 `json:"gate_limit"`
+				InFlight float64 `json:"gate_in_flight"`
+				Queued   float64 `json:"gate_queued"`
+			}
+			if vars(ctx, node, &v) != nil {
+				continue
+			}
+			n++
+			g.Limit += v.Limit
+			g.InFlight += v.InFlight
+			g.Queued += v.Queued
+			g.Least = min(g.Least, v.Limit)
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	g.Limit, g.InFlight, g.Queued = g.Limit/n, g.InFlight/n, g.Queued/n
+	return g
+}
--- a/internal/load/usage.go
+++ b/internal/load/usage.go
@@ -111,21 +111,26 @@
 	if s.rss, err = rssOf(s.pid); err != nil {
 		return s, err
 	}
+	var v nodeVars
+	if err := vars(ctx, n, &v); err != nil {
+		return s, err
+	}
+	s.heap, s.sent, s.received, s.retries, s.broken = v.Memory.Heap, v.Sent, v.Received, v.Retries, v.Broken
+	return s, nil
+}
+
+// vars decodes the counters of a node into v.
+func vars(ctx context.Context, n *trial.Node, v any) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Addrs().Operator+"/debug/vars", nil)
 	if err != nil {
-		return s, err
+		return err
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return s, err
+		return err
 	}
 	defer resp.Body.Close()
-	var v nodeVars
-	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
-		return s, err
-	}
-	s.heap, s.sent, s.received, s.retries, s.broken = v.Memory.Heap, v.Sent, v.Received, v.Retries, v.Broken
-	return s, nil
+	return json.NewDecoder(resp.Body).Decode(v)
 }
 
 // sample is what the mesh and the machine have used so far.
