--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -31,11 +31,13 @@
 	// and retries included. It misses those of servers that were killed.
 	Arrivals int64    `json:"arrivals"`
 	Platform Platform `json:"platform"`
+	Gates    *Gates   `json:"gates,omitempty"`
 	// OtherCPU is the mean number of cores that other programs of the machine
 	// used. Above 0 they may have disturbed the figures.
 	OtherCPU float64          `json:"other_cpu"`
-	Stolen   float64          `json:"stolen_cpu"` // cores that the hypervisor withheld from ready processes
-	OwnCPU   float64          `json:"own_cpu"`    // cores of the load tool and the mesh
+	Stolen   float64          `json:"stolen_cpu"`         // cores that the hypervisor withheld from ready processes
+	OwnCPU   float64          `json:"own_cpu"`            // cores of the load tool and the mesh
+	Messages map[string]int64 `json:"messages,omitempty"` // control messages sent by all nodes, by kind
 	Retries  map[string]int64 `json:"retries,omitempty"`
 	Broken   map[string]int64 `json:"invariant_broken,omitempty"`
 	Failed   []string         `json:"failed,omitempty"` // faults of the experiment itself
@@ -140,12 +142,21 @@
 	s.Max = max(s.Max, v)
 }
 
+// Gates is the state of the gates in a phase, sampled each second.
+type Gates struct {
+	Limit    float64 `json:"limit"`     // mean concurrency limit
+	Least    float64 `json:"least"`     // lowest concurrency limit of any gate
+	InFlight float64 `json:"in_flight"` // mean
+	Queued   float64 `json:"queued"`    // mean
+}
+
 // Platform is the use of the platform in a phase, in requests.
 type Platform struct {
-	Reads     int64   `json:"reads"`
-	Writes    int64   `json:"writes"`
-	PeakReads float64 `json:"peak_reads"` // of one second
-	PeakWrite float64 `json:"peak_writes"`
+	Reads     int64            `json:"reads"`
+	Writes    int64            `json:"writes"`
+	PeakReads float64          `json:"peak_reads"` // of one second
+	PeakWrite float64          `json:"peak_writes"`
+	Ops       map[string]int64 `json:"ops"` // by operation
 }
 
 func rankReport(t *tally, length time.Duration, capacity float64) RankReport {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -107,6 +108,9 @@
 		others.Go(func() { events[i] = c.happen(inner, e, begin) })
 	}
 	others.Go(func() { r.Platform = c.watchPlatform(inner) })
+	if len(p.Load) > 0 && len(c.Nodes) <= gateNodes {
+		others.Go(func() { r.Gates = c.watchGates(inner) })
+	}
 	var edits []edited
 	if p.Edits != nil {
 		ed := &editor{c: c, edits: *p.Edits, seed: c.x.Seed}
@@ -135,6 +139,7 @@
 	r.OtherCPU = max(0, (to.busy-from.busy).Seconds()/length.Seconds()-r.OwnCPU)
 	r.Stolen = (to.stolen - from.stolen).Seconds() / length.Seconds()
 	r.Retries = difference(from, to, func(n nodeSample) map[string]int64 { return n.retries })
+	r.Messages = difference(from, to, func(n nodeSample) map[string]int64 { return n.messages })
 	r.Broken = difference(from, to, func(n nodeSample) map[string]int64 { return n.broken })
 	for _, err := range events {
 		if err != nil {
@@ -148,18 +153,56 @@
 // most in one second.
 func (c *cluster) watchPlatform(ctx context.Context) Platform {
 	var p Platform
-	firstReads, firstWrites := c.platformRequests(ctx)
+	first, firstReads, firstWrites := c.platformRequests(ctx)
 	reads, writes := firstReads, firstWrites
 	last := time.Now()
 	for pause(ctx, time.Second) == nil {
-		r, w := c.platformRequests(context.WithoutCancel(ctx))
+		_, r, w := c.platformRequests(context.WithoutCancel(ctx))
 		now := time.Now()
 		secs := now.Sub(last).Seconds()
 		p.PeakReads = max(p.PeakReads, float64(r-reads)/secs)
 		p.PeakWrite = max(p.PeakWrite, float64(w-writes)/secs)
 		reads, writes, last = r, w, now
 	}
-	r, w := c.platformRequests(context.WithoutCancel(ctx))
+	ops, r, w := c.platformRequests(context.WithoutCancel(ctx))
+	p.Ops = make(map[string]int64)
+	for op, n := range ops {
+		if n -= first[op]; n > 0 {
+			p.Ops[op] = n
+		}
+	}
 	p.Reads, p.Writes = r-firstReads, w-firstWrites
 	return p
 }
+
+// gateNodes is the size of the largest mesh whose gates are sampled each
+// second, since reading the counters costs the nodes CPU time.
+const gateNodes = 10
+
+// watchGates samples the gates until ctx ends.
+func (c *cluster) watchGates(ctx context.Context) *Gates {
+	g := &Gates{Least: math.Inf(1)}
+	n := 0.0
+	for pause(ctx, time.Second) == nil {
+		for _, node := range c.Nodes {
+			var v struct {
+				Limit    float64 `json:"gate_limit"`
+				InFlight float64 `json:"gate_in_flight"`
+				Queued   float64 `json:"gate_queued"`
+			}
+			if vars(ctx, node, &v) != nil {
+				continue
+			}
+			n++
+			g.Limit += v.Limit
+			g.InFlight += v.InFlight
+			g.Queued += v.Queued
+			g.Least = min(g.Least, v.Limit)
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	g.Limit, g.InFlight, g.Queued = g.Limit/n, g.InFlight/n, g.Queued/n
+	return g
+}
