Route by a version before the node shows that it holds it

The node now builds the table before the version becomes visible, and a request that still finds an older table waits for the new one.

--- /dev/null
+++ b/internal/caller/apply_test.go
@@ -0,0 +1,40 @@
+package caller
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/pkg/config"
+)
+
+// TestTableFollowsSnapshot guards against requests that are routed by the former
+// version after the node has shown the new one, while another request builds
+// its table.
+func TestTableFollowsSnapshot(t *testing.T) {
+	var current atomic.Pointer[config.Snapshot]
+	c := New(Config{ID: "n0", Snapshot: current.Load})
+	first, second := &config.Snapshot{Version: 1}, &config.Snapshot{Version: 2}
+	for i := range 20_000 {
+		second.Routes = append(second.Routes, config.Route{
+			Name: fmt.Sprint(i), Host: fmt.Sprintf("h%d.example", i), Path: "/", Deadline: time.Second,
+		})
+	}
+	require.Nil(t, c.currentTable())
+	current.Store(first)
+	require.EqualValues(t, 1, c.currentTable().Snapshot().Version)
+	current.Store(second)
+	const requests = 8
+	versions := make(chan uint64)
+	for range requests {
+		go func() { versions <- uint64(c.currentTable().Snapshot().Version) }()
+	}
+	for range requests {
+		require.EqualValues(t, 2, <-versions)
+	}
+	c.Apply(first)
+	require.EqualValues(t, 2, c.currentTable().Snapshot().Version, "a lower version is not applied")
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -163,24 +163,22 @@
 	}
 }
 
+// Apply makes s the configuration that requests are routed by, unless a higher
+// version is in use. The owner calls it before it shows that the node serves s.
+func (c *Caller) Apply(s *config.Snapshot) {
+	c.tableMu.Lock()
+	defer c.tableMu.Unlock()
+	if t := c.table.Load(); t == nil || t.Snapshot().Version < s.Version {
+		c.table.Store(route.NewTable(s))
+	}
+}
+
 // currentTable returns the table of the current snapshot, or nil without one.
-// While one request builds a new table, others use the previous one.
 func (c *Caller) currentTable() *route.Table {
 	s := c.cfg.Snapshot()
-	t := c.table.Load()
-	if s == nil || t != nil && t.Snapshot() == s {
+	if t := c.table.Load(); s == nil || t != nil && t.Snapshot().Version >= s.Version {
 		return t
 	}
-	if t == nil {
-		c.tableMu.Lock()
-	} else if !c.tableMu.TryLock() {
-		return t
-	}
-	defer c.tableMu.Unlock()
-	if u := c.table.Load(); u != nil && u.Snapshot().Version >= s.Version {
-		return u
-	}
-	t = route.NewTable(s)
-	c.table.Store(t)
-	return t
+	c.Apply(s)
+	return c.table.Load()
 }
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -51,8 +51,8 @@
 	Gate     http.Handler   // serves requests forwarded by other nodes; nil refuses them
 	Platform Source
 
-	// OnSnapshot is called with every new snapshot, in order of version. It
-	// must not call Publish.
+	// OnSnapshot is called with every new snapshot, in order of version, before
+	// this node shows that it holds the version. It must not call Publish.
 	OnSnapshot func(*config.Snapshot)
 	// OnMembers is called with all remembered members after a change, at most
 	// every 20 ms. The slice belongs to the callee.
