Let a rank that is owed a slot hold one more than its floor

A rank with a floor of 0.9 slots could hold only one at a time, and does not get the next free slot at once if another rank is owed one as well, so it reached 0.773 slots (TestFloors, 1,327th check). It may now hold one slot beyond its floor while its credit lasts.

--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -94,9 +94,10 @@
 	r.credit = min(max(r.credit, low), top)
 }
 
-// belowFloor reports whether r is owed a slot at the given limit.
+// belowFloor reports whether r is owed a slot at the given limit. It may hold one
+// slot more than its floor, since it does not get every slot at once when owed.
 func (r *rank) belowFloor(limit float64) bool {
-	return r.credit >= 0 && float64(r.inFlight) <= r.policy.Floor*limit
+	return r.credit >= 0 && float64(r.inFlight) < r.policy.Floor*limit+1
 }
 
 // served records the end of a request of r that held its slot for d.
