Name the constructor of the admission machine New

The design builds types with admit.New(admit.Config{...}); the name was taken by the state of a ticket that has not been offered, which is now Unoffered.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -96,7 +96,7 @@
 func New(c Config) *Gate {
 	c = c.withDefaults()
 	g := &Gate{conf: c, log: c.Log, recent: newRecent(), idle: make(chan struct{})}
-	g.machine = admit.NewMachine(c.Admission, time.Now())
+	g.machine = admit.New(c.Admission, time.Now())
 	g.figures = newFigures(c.Metrics, g)
 	g.claims = newClaims(c, g.figures)
 	g.told.tell = c.OnEndpoint
--- a/internal/core/admit/admitsim/sim.go
+++ b/internal/core/admit/admitsim/sim.go
@@ -89,7 +89,7 @@
 // Run simulates until all requests have ended and returns the outcome by rank.
 func (s *Sim) Run() map[mesh.Rank]*Outcome {
 	s.rng = rand.New(rand.NewPCG(s.Seed, 1))
-	s.m = admit.NewMachine(s.Admission, epoch)
+	s.m = admit.New(s.Admission, epoch)
 	s.result = make(map[mesh.Rank]*Outcome)
 	for i := range s.Loads {
 		l := &s.Loads[i]
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -59,8 +59,8 @@
 	decided  []*Ticket     // result of the current call
 }
 
-// NewMachine returns a Machine that starts with a ramp at now.
-func NewMachine(c Config, now time.Time) *Machine {
+// New returns a Machine that starts with a ramp at now.
+func New(c Config, now time.Time) *Machine {
 	if c.Queue <= 0 {
 		c.Queue = defaultQueue
 	}
--- a/internal/core/admit/machine_test.go
+++ b/internal/core/admit/machine_test.go
@@ -40,7 +40,7 @@
 		}, "low", time.Second, errQueueFull},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := NewMachine(Config{Slots: 1, Ranks: testRanks, Queue: 4, Ramp: -1}, epoch)
+			m := New(Config{Slots: 1, Ranks: testRanks, Queue: 4, Ramp: -1}, epoch)
 			c.prep(m)
 			tk := offer(m, 0, c.rank, c.left)
 			require.Equal(t, Refused, tk.State())
@@ -48,14 +48,14 @@
 			require.Equal(t, fault.NotRun, tk.Refusal().Run)
 		})
 	}
-	m := NewMachine(Config{Slots: 1}, epoch)
+	m := New(Config{Slots: 1}, epoch)
 	require.Same(t, errNoRanks, offer(m, 0, "low", time.Second).Refusal())
 }
 
 // TestExpiryInQueue guards against a request that is admitted after its
 // deadline, or left waiting beyond it.
 func TestExpiryInQueue(t *testing.T) {
-	m := NewMachine(Config{Slots: 1, Ranks: testRanks, Ramp: -1}, epoch)
+	m := New(Config{Slots: 1, Ranks: testRanks, Ramp: -1}, epoch)
 	run := offer(m, 0, "low", time.Minute)
 	long, short := offer(m, 0, "low", time.Minute), offer(m, 0, "low", time.Second)
 	ts := m.Tick(epoch.Add(time.Second))
@@ -67,7 +67,7 @@
 // TestRamp guards a cold backend server against all its slots being used at
 // once.
 func TestRamp(t *testing.T) {
-	m := NewMachine(Config{Slots: 20, Ranks: testRanks}, epoch)
+	m := New(Config{Slots: 20, Ranks: testRanks}, epoch)
 	for _, c := range []struct {
 		at   time.Duration
 		want int
@@ -81,7 +81,7 @@
 // TestSetRanks guards against tickets lost when a configuration removes or
 // reorders ranks.
 func TestSetRanks(t *testing.T) {
-	m := NewMachine(Config{Slots: 1, Ranks: testRanks, Ramp: -1}, epoch)
+	m := New(Config{Slots: 1, Ranks: testRanks, Ramp: -1}, epoch)
 	run := offer(m, 0, "urgent", time.Minute)
 	low, bulk := offer(m, 0, "low", time.Minute), offer(m, 0, "bulk", time.Minute)
 	m.SetRanks(epoch, testRanks[1:3])
@@ -96,7 +96,7 @@
 // TestAccountFairness guards the other client accounts of a rank against a
 // flood from one of them.
 func TestAccountFairness(t *testing.T) {
-	m := NewMachine(Config{Slots: 1, Ranks: testRanks[2:3], Queue: 8, Ramp: -1}, epoch)
+	m := New(Config{Slots: 1, Ranks: testRanks[2:3], Queue: 8, Ramp: -1}, epoch)
 	first := &Ticket{Rank: "low", Account: "flood"}
 	m.Offer(epoch, first)
 	flood := make([]Ticket, 8)
@@ -120,7 +120,7 @@
 // TestPressure guards callers against a pressure that does not tell a free gate
 // from a full or a refusing one, and against values that do not parse.
 func TestPressure(t *testing.T) {
-	m := NewMachine(Config{Slots: 2, Ranks: testRanks, Queue: 4, Ramp: -1}, epoch)
+	m := New(Config{Slots: 2, Ranks: testRanks, Queue: 4, Ramp: -1}, epoch)
 	require.Zero(t, m.PressureOf(epoch, "urgent"))
 	offer(m, 0, "low", time.Minute)
 	require.Equal(t, 0.25, m.PressureOf(epoch, "urgent"))
@@ -156,7 +156,7 @@
 }
 
 func BenchmarkOfferDone(b *testing.B) {
-	m := NewMachine(Config{Slots: 20, Ranks: testRanks, Ramp: -1}, epoch)
+	m := New(Config{Slots: 20, Ranks: testRanks, Ramp: -1}, epoch)
 	now := epoch
 	b.ReportAllocs()
 	for b.Loop() {
@@ -170,7 +170,7 @@
 // BenchmarkOfferDoneQueued measures a request that waits, behind a queue of
 // every rank and with a deadline.
 func BenchmarkOfferDoneQueued(b *testing.B) {
-	m := NewMachine(Config{Slots: 4, Ranks: testRanks, Ramp: -1}, epoch)
+	m := New(Config{Slots: 4, Ranks: testRanks, Ramp: -1}, epoch)
 	now := epoch
 	var running []*Ticket
 	for i := range 64 {
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -13,7 +13,7 @@
 // The states of a ticket. Admitted, Refused and Canceled are decisions; a
 // ticket gets exactly one of them.
 const (
-	New State = iota
+	Unoffered State = iota
 	Queued
 	Admitted
 	Refused
@@ -21,7 +21,7 @@
 	Finished // admitted earlier and done
 )
 
-var stateNames = [...]string{"new", "queued", "admitted", "refused", "canceled", "finished"}
+var stateNames = [...]string{"unoffered", "queued", "admitted", "refused", "canceled", "finished"}
 
 // String returns the lower-case name of s.
 func (s State) String() string {
