Push to the children of a node that does not answer within 200 ms

The children of a frozen node waited for the push to time out after 1 s. The sender now pushes to them after 200 ms while the push goes on.

--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// pushTimeout is the wait for the answer to a push, after which the sender
-	// takes over the children of the silent node.
-	pushTimeout = time.Second
+	// pushTimeout bounds one push.
+	pushTimeout = 2 * time.Second
+	// takeOver is the wait for the answer to a push, after which the sender
+	// also pushes to the children of the silent node. A node that is only slow
+	// pushes to them again, which costs one delta each.
+	takeOver = 200 * time.Millisecond
 	// maxSpreads is the number of versions that are pushed at a time.
 	maxSpreads = 8
 )
@@ -124,17 +127,43 @@
 }
 
 // push pushes to one member, and to its children in its place if it does not
-// answer.
+// answer in time.
 func (p *Peer) push(ctx context.Context, q *peerpb.PushRequest, t member.Member, ms []member.Member) {
-	_, err := call(ctx, p, "push", pushTimeout, p.at(t.Addr).Push, q)
+	answer := make(chan error, 1)
+	go func() {
+		_, err := call(ctx, p, "push", pushTimeout, p.at(t.Addr).Push, q)
+		answer <- err
+	}()
+	late := time.NewTimer(takeOver)
+	defer late.Stop()
+	select {
+	case err := <-answer:
+		if p.pushed(t, err) {
+			return
+		}
+		p.pushBelow(ctx, q, t, ms)
+	case <-late.C:
+		p.stats.pushes.Add("late", 1)
+		p.pushBelow(ctx, q, t, ms)
+		p.pushed(t, <-answer)
+	}
+}
+
+// pushBelow pushes to the children of t in its place.
+func (p *Peer) pushBelow(ctx context.Context, q *peerpb.PushRequest, t member.Member, ms []member.Member) {
+	v := mesh.Version(q.GetDelta().GetTarget())
+	p.pushEach(ctx, q, version.Children(v, t.ID, ms), ms)
+}
+
+// pushed counts the result of a push and reports whether it succeeded.
+func (p *Peer) pushed(t member.Member, err error) bool {
 	if err == nil {
 		p.stats.pushes.Add("sent", 1)
-		return
+		return true
 	}
 	p.stats.pushes.Add("failed", 1)
 	p.log.Debug("push failed", zap.String("node", string(t.ID)), zap.Error(err))
-	v := mesh.Version(q.GetDelta().GetTarget())
-	p.pushEach(ctx, q, version.Children(v, t.ID, ms), ms)
+	return false
 }
 
 // Publish applies a version that this node committed and starts to push it to
