Keep the kind of a fault whose cause is a passed deadline

Edits during a platform outage that hangs were answered outcome_unknown, although the failed call was the read of the head and nothing had been written: asFault looked at the deadline in the error chain before the fault. Lost writes were ruled out, since the platform counted none during the outage.

A fault in the chain now decides; a bare deadline still means outcome_unknown.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -275,3 +276,22 @@
 	require.False(t, s.Converged)
 	require.Equal(t, []mesh.NodeID{"n2"}, s.Zones[0].Lagging)
 }
+
+// TestFault guards against refusals without effect that are reported as an
+// unknown outcome because a passed deadline caused them.
+func TestFault(t *testing.T) {
+	late := fmt.Errorf("read: %w", context.DeadlineExceeded)
+	for _, c := range []struct {
+		err  error
+		kind fault.Kind
+		run  fault.Run
+	}{
+		{late, fault.OutcomeUnknown, fault.Unknown},
+		{fault.Newf(fault.PlatformUnavailable, "head: %w", late).WithRun(fault.NotRun), fault.PlatformUnavailable, fault.NotRun},
+		{fault.Newf(fault.OutcomeUnknown, "commit: %w", late), fault.OutcomeUnknown, fault.Unknown},
+	} {
+		e := asFault(c.err)
+		require.Equal(t, c.kind, e.Kind)
+		require.Equal(t, c.run, e.Run)
+	}
+}
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -105,7 +105,10 @@
 	if errors.As(err, &invalid) {
 		return fault.Newf(fault.InvalidConfig, "%w", err)
 	}
-	if errors.Is(err, context.DeadlineExceeded) && !fault.Is(err, fault.OutcomeUnknown) {
+	// A fault already says whether the change may have taken effect, also if a
+	// passed deadline caused it, as when the platform does not answer a read.
+	var known *fault.Error
+	if !errors.As(err, &known) && errors.Is(err, context.DeadlineExceeded) {
 		return fault.Newf(fault.OutcomeUnknown, "%w", err)
 	}
 	return fault.From(err)
