Report refusals by admission by cause

Middle ranks are refused as overloaded in a flood of the lowest rank although gates have free slots on average; the cause that the gate counts tells a full queue from an expected wait.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -39,6 +39,7 @@
 	OwnCPU   float64          `json:"own_cpu"`            // cores of the load tool and the mesh
 	Messages map[string]int64 `json:"messages,omitempty"` // control messages sent by all nodes, by kind
 	Retries  map[string]int64 `json:"retries,omitempty"`
+	Causes   map[string]int64 `json:"gate_refusals,omitempty"` // refusals by admission, by cause
 	Broken   map[string]int64 `json:"invariant_broken,omitempty"`
 	Failed   []string         `json:"failed,omitempty"` // faults of the experiment itself
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -140,6 +140,7 @@
 	r.Stolen = (to.stolen - from.stolen).Seconds() / length.Seconds()
 	r.Retries = difference(from, to, func(n nodeSample) map[string]int64 { return n.retries })
 	r.Messages = difference(from, to, func(n nodeSample) map[string]int64 { return n.messages })
+	r.Causes = difference(from, to, func(n nodeSample) map[string]int64 { return n.admission })
 	r.Broken = difference(from, to, func(n nodeSample) map[string]int64 { return n.broken })
 	for _, err := range events {
 		if err != nil {
--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -59,7 +59,7 @@
 	for _, m := range []struct {
 		name   string
 		counts map[string]int64
-	}{{"control messages of all nodes", p.Messages}, {"retries", p.Retries}, {"INVARIANTS BROKEN", p.Broken}} {
+	}{{"control messages of all nodes", p.Messages}, {"retries", p.Retries}, {"refusals by admission", p.Causes}, {"INVARIANTS BROKEN", p.Broken}} {
 		if len(m.counts) > 0 {
 			fmt.Fprintf(b, "%s: %s\n", m.name, counts(m.counts))
 		}
--- a/internal/load/usage.go
+++ b/internal/load/usage.go
@@ -88,6 +88,7 @@
 	sent, received map[string]int64 // control bytes by kind
 	messages       map[string]int64 // sent, by kind
 	retries        map[string]int64
+	admission      map[string]int64 // refusals of gates by cause
 	broken         map[string]int64 // invariants
 }
 
@@ -96,6 +97,7 @@
 	Received map[string]int64 `json:"control_bytes_received"`
 	Messages map[string]int64 `json:"control_messages_sent"`
 	Retries  map[string]int64 `json:"caller_retry"`
+	Causes   map[string]int64 `json:"gate_refused_by_admission"`
 	Broken   map[string]int64 `json:"invariant_broken"`
 	Memory   struct {
 		Heap int64 `json:"heap_alloc"`
@@ -118,7 +120,7 @@
 		return s, err
 	}
 	s.heap, s.sent, s.received, s.retries, s.broken = v.Memory.Heap, v.Sent, v.Received, v.Retries, v.Broken
-	s.messages = v.Messages
+	s.messages, s.admission = v.Messages, v.Causes
 	return s, nil
 }
 
