--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -163,6 +163,16 @@
 	}
 }
 
+// Prepare builds the table of s before s becomes the current snapshot, so that
+// no request uses an older table once s is current.
+func (c *Caller) Prepare(s *config.Snapshot) {
+	c.tableMu.Lock()
+	defer c.tableMu.Unlock()
+	if u := c.table.Load(); u == nil || u.Snapshot().Version < s.Version {
+		c.table.Store(route.NewTable(s))
+	}
+}
+
 // currentTable returns the table of the current snapshot, or nil without one.
 // While one request builds a new table, others use the previous one.
 func (c *Caller) currentTable() *route.Table {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,14 +132,17 @@
 		join = append(join, mesh.Addr(a))
 	}
 	return peer.New(peer.Config{
-		Self:       member.Member{ID: n.id, Zone: mesh.AvailabilityZone(n.set.Zone), Addr: n.advertised()},
-		Key:        []byte(n.set.Key),
-		Join:       join,
-		Listener:   n.sockets.peer,
-		Packet:     n.sockets.packet,
-		Gate:       n.gate.Hop(),
-		Platform:   n.source(),
-		OnSnapshot: func(s *config.Snapshot) { n.platform.SetClaimRate(claimShare(s, n.peer.Members())) },
+		Self:     member.Member{ID: n.id, Zone: mesh.AvailabilityZone(n.set.Zone), Addr: n.advertised()},
+		Key:      []byte(n.set.Key),
+		Join:     join,
+		Listener: n.sockets.peer,
+		Packet:   n.sockets.packet,
+		Gate:     n.gate.Hop(),
+		Platform: n.source(),
+		OnSnapshot: func(s *config.Snapshot) {
+			n.caller.Prepare(s)
+			n.platform.SetClaimRate(claimShare(s, n.peer.Members()))
+		},
 		OnMembers: func(ms []member.Member) {
 			n.caller.SetMembers(ms)
 			n.platform.SetClaimRate(claimShare(n.peer.Snapshot(), ms))
--- a/internal/peer/apply.go
+++ b/internal/peer/apply.go
@@ -67,6 +67,7 @@
 		}
 		return err
 	}
+	p.cfg.OnSnapshot(s)
 	if old := p.snapshot.Swap(s); old != nil && old.Version >= s.Version {
 		p.stats.metrics.InvariantBroken("version_order")
 	}
@@ -76,7 +77,6 @@
 	p.mu.Lock()
 	p.list.SetVersion(s.Version)
 	p.mu.Unlock()
-	p.cfg.OnSnapshot(s)
 	return nil
 }
 
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -51,7 +51,8 @@
 	Gate     http.Handler   // serves requests forwarded by other nodes; nil refuses them
 	Platform Source
 
-	// OnSnapshot is called with every new snapshot, in order of version. It
+	// OnSnapshot is called with every new snapshot, in order of version and
+	// before the snapshot takes effect. It
 	// must not call Publish.
 	OnSnapshot func(*config.Snapshot)
 	// OnMembers is called with all remembered members after a change, at most
--- a/internal/trial/config_test.go
+++ b/internal/trial/config_test.go
@@ -97,18 +97,25 @@
 	for _, n := range m.Nodes {
 		require.NoError(t, n.startBoth(t.Context()))
 	}
-	for range 20 {
+	// Nodes read the platform some time after their start. Each is observed for
+	// two more seconds after damaged objects were read.
+	const least = 4
+	begin, end := time.Now(), time.Time{}
+	for end.IsZero() || time.Now().Before(end) {
 		for _, n := range m.Nodes {
 			st, err := n.Operator().Status(t.Context(), 0)
 			require.NoError(t, err)
 			require.Zero(t, st.Version)
 			require.False(t, st.Ready)
 		}
-		time.Sleep(100 * time.Millisecond)
+		pl, err := m.Platform.Status(t.Context())
+		require.NoError(t, err)
+		if end.IsZero() && pl["object"].Failed["corrupt"] >= least {
+			end = time.Now().Add(2 * time.Second)
+		}
+		require.Less(t, time.Since(begin), 20*time.Second, "the nodes read no objects")
+		time.Sleep(pollPause)
 	}
-	pl, err := m.Platform.Status(t.Context())
-	require.NoError(t, err)
-	require.Positive(t, pl["object"].Failed["corrupt"])
 	require.NoError(t, m.Platform.SetFaults(t.Context(), inject.Faults{}, inject.Faults{}))
 	require.NoError(t, m.WaitVersion(within(t, 20*time.Second), 1))
 }
