Tell apart incoming requests that reuse a request id

The gate counts an attempt that it runs twice as a broken invariant, by request id and attempt number. Callers may choose the id, so that a caller that reuses one, or a backend server that copies its id to several calls, was counted falsely. Each incoming request now has a number of its own. Dropping the check was ruled out, since it guards invariant I6; TestReusedRequestID fails when the number is left out of the comparison.

--- a/internal/backend/recent.go
+++ b/internal/backend/recent.go
@@ -11,6 +11,7 @@
 
 type attempt struct {
 	id     mesh.RequestID
+	call   string // tells apart incoming requests with the same id
 	number string
 }
 
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -20,6 +20,7 @@
 type call struct {
 	admit.Ticket
 	id      mesh.RequestID
+	call    string
 	attempt string
 	service mesh.Service
 	route   string
@@ -154,6 +155,7 @@
 	h := r.Header
 	c := &call{
 		id:      mesh.RequestID(h.Get(mesh.RequestHeader)),
+		call:    h.Get(mesh.CallHeader),
 		attempt: h.Get(mesh.AttemptHeader),
 		service: mesh.Service(h.Get(mesh.ServiceHeader)),
 		route:   h.Get(mesh.RouteHeader),
@@ -309,7 +311,7 @@
 // forward sends the admitted c to the backend server.
 func (g *Gate) forward(ctx context.Context, c *call, r *http.Request) (*http.Response, *fault.Error) {
 	g.figures.wait.record(c.Rank, c.Waited())
-	if g.recent.add(attempt{c.id, c.attempt}) {
+	if g.recent.add(attempt{c.id, c.call, c.attempt}) {
 		g.figures.registry.InvariantBroken("gate_attempt_run_twice")
 	}
 	out := hop.Outgoing(r, c.endpoint)
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -88,6 +88,7 @@
 	vs := [...]string{
 		c.cfg.HopToken,
 		string(q.id),
+		q.nonce,
 		strconv.FormatInt(remaining, 10),
 		strconv.Itoa(a.number),
 		strconv.Itoa(q.depth + 1),
@@ -114,6 +115,7 @@
 var hopHeaderNames = [...]string{
 	mesh.HopHeader,
 	mesh.RequestHeader,
+	mesh.CallHeader,
 	mesh.DeadlineHeader,
 	mesh.AttemptHeader,
 	mesh.DepthHeader,
--- a/internal/caller/both_test.go
+++ b/internal/caller/both_test.go
@@ -220,3 +220,15 @@
 		b.ReportMetric(float64(v-d), fmt.Sprintf("added-p%.0f-us", q))
 	}
 }
+
+// TestReusedRequestID guards against callers that reuse a request id and are
+// counted as a broken invariant of the mesh.
+func TestReusedRequestID(t *testing.T) {
+	reg := metric.New()
+	g, _ := newReal(t, "e1", reg, echo)
+	b := newBench(t, g)
+	for range 3 {
+		require.Equal(t, http.StatusOK, b.do("GET", "/read", "", mesh.RequestHeader, "same").code)
+	}
+	require.Equal(t, "{}", reg.ByReason("invariant_broken").String())
+}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -16,7 +16,8 @@
 	arrived time.Time
 
 	id    mesh.RequestID
-	depth int // Lavenderrill-Depth on arrival
+	nonce string // value of mesh.CallHeader
+	depth int    // Lavenderrill-Depth on arrival
 
 	table    *route.Table // one table for the whole request
 	route    *route.Route
--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,6 +26,7 @@
 func (c *Caller) identify(ctx context.Context, q *call) (context.Context, error) {
 	h := q.in.Header
 	q.id = requestID(h.Get(mesh.RequestHeader))
+	q.nonce = strconv.FormatUint(rand.Uint64(), 36)
 	q.w.Header()[mesh.RequestHeader] = []string{string(q.id)}
 	depth, deadline := h.Get(mesh.DepthHeader), h.Get(mesh.DeadlineHeader)
 	removeReserved(h)
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -9,6 +9,9 @@
 	DeadlineHeader = "Lavenderrill-Deadline"
 	// AttemptHeader carries the attempt number of a request, counted from 1.
 	AttemptHeader = "Lavenderrill-Attempt"
+	// CallHeader tells apart incoming requests with the same RequestID, which
+	// callers may choose.
+	CallHeader = "Lavenderrill-Call"
 	// DepthHeader carries the number of mesh calls above this one.
 	DepthHeader = "Lavenderrill-Depth"
 	// PressureHeader carries the pressure of a gate per rank.
