--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -124,6 +124,9 @@
 // Counts returns the events so far.
 func (l *List) Counts() Counts { return l.counts }
 
+// Pending returns the number of updates that wait to be sent.
+func (l *List) Pending() int { return len(l.queue) }
+
 // Size returns the number of members that are alive or suspect, this node
 // included.
 func (l *List) Size() int { return l.live + 1 }
--- a/internal/peer/control_test.go
+++ b/internal/peer/control_test.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -65,16 +66,36 @@
 	for _, n := range []int{10, 30, 100} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			ps := startAll(b, n)
-			time.Sleep(15 * time.Second) // the updates of the start are spread
+			start := time.Now()
+			eventually(b, 3*time.Minute, func() bool { return spreadDone(ps) }, "the updates of the start are spread")
+			settled := time.Since(start)
 			for b.Loop() {
 				from := measure(ps)
-				time.Sleep(10 * time.Second)
+				time.Sleep(20 * time.Second)
 				report(b, n, from, measure(ps))
 			}
+			b.ReportMetric(settled.Seconds(), "settle-s")
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(m.HeapAlloc)/1024/float64(n), "heapKB/node")
 		})
 	}
 }
 
+// spreadDone reports whether no peer has updates left to send.
+func spreadDone(ps []*testPeer) bool {
+	for _, p := range ps {
+		p.mu.Lock()
+		n := p.list.Pending()
+		p.mu.Unlock()
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // BenchmarkEdits prints the same with one edit each second, at 1% loss of
 // datagrams, and the time from publishing to the last node.
 func BenchmarkEdits(b *testing.B) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -105,7 +105,7 @@
 		defer p.mu.Unlock()
 		c := p.list.Counts()
 		return map[string]int64{
-			"members": int64(p.list.Size()), "probes": c.Probes, "failed": c.Failed, "suspicions": c.Suspicions,
+			"members": int64(p.list.Size()), "pending": int64(p.list.Pending()), "probes": c.Probes, "failed": c.Failed, "suspicions": c.Suspicions,
 			"deaths": c.Deaths, "refutations": c.Refutations, "pauses": c.Pauses, "replaced": c.Replaced,
 		}
 	})
