State what the members given to the caller side must include

The rates of client accounts are divided by the number of live members, so a list without this node would make each share too large. The comment of SetMembers now says that the list includes this node; with one node missing of n the mesh would admit n/(n-1) of the rate.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -119,8 +119,9 @@
 	return c
 }
 
-// SetMembers replaces the members that endpoints are chosen from. Endpoints
-// that stay keep what is known of them.
+// SetMembers replaces the members that endpoints are chosen from; ms includes
+// this node. Endpoints that stay keep what is known of them. The number of live
+// members divides the rates of client accounts.
 func (c *Caller) SetMembers(ms []member.Member) {
 	c.picker.Update(ms, time.Now())
 	alive := 0
