--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,10 +171,25 @@
 	c.tableMu.Lock()
 	defer c.tableMu.Unlock()
 	if t := c.table.Load(); t == nil || t.Snapshot().Version < s.Version {
+		c.checkResources(s)
 		c.table.Store(route.NewTable(s))
 	}
 }
 
+// checkResources counts routes of s that lead to a service, rank or client
+// account that s does not have. Compilation refuses such routes.
+func (c *Caller) checkResources(s *config.Snapshot) {
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		_, service := s.Services[r.Service]
+		_, rank := s.RankIndex(r.Rank)
+		_, account := slices.BinarySearch(s.Accounts, r.Account)
+		if !service || !rank || !account {
+			c.cfg.Metrics.InvariantBroken("route_resource")
+		}
+	}
+}
+
 // currentTable returns the table of the current snapshot, or nil without one.
 func (c *Caller) currentTable() *route.Table {
 	s := c.cfg.Snapshot()
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -77,6 +77,7 @@
 	}
 	return &config.Snapshot{
 		Version:  7,
+		Accounts: []mesh.ClientAccount{"acc"},
 		Ranks:    []config.RankPolicy{{Name: "urgent", Target: 150 * time.Millisecond}, {Name: "bulk", Target: 10 * time.Second, Bulk: true}},
 		Services: map[mesh.Service]config.ServicePolicy{"s": {Name: "s", Slots: 20, Connections: 110}},
 		Routes: []config.Route{
--- a/internal/peer/apply.go
+++ b/internal/peer/apply.go
@@ -67,6 +67,9 @@
 		}
 		return err
 	}
+	if s.Digest != p.state.Manifest().Digest() {
+		p.stats.metrics.InvariantBroken("version_digest")
+	}
 	p.cfg.OnSnapshot(s)
 	if old := p.snapshot.Swap(s); old != nil && old.Version >= s.Version {
 		p.stats.metrics.InvariantBroken("version_order")
