Spread the registrations of a mass start by the size of the mesh

Every starting node wrote its row within 2 s. The spread is now 10 ms per known member, at least 2 s: at 2,500 members 50 writes/s if half of them restart and 100 if all do. Rows only help others to join, so a later row costs nothing while settings name peers.

--- a/internal/node/claim_test.go
+++ b/internal/node/claim_test.go
@@ -22,3 +22,11 @@
 	require.Equal(t, rate.Limit(150), claimShare(s, nil))
 	require.Equal(t, rate.Limit(150), claimShare(nil, ms))
 }
+
+// TestRegistrationSpread guards against a mass restart that exceeds the write
+// rate of the platform.
+func TestRegistrationSpread(t *testing.T) {
+	require.Equal(t, registerSpread, registrationSpread(1))
+	const members, writes = 2_500, 300 // writes per second of the platform
+	require.Less(t, members/registrationSpread(members).Seconds(), float64(writes))
+}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -18,12 +18,16 @@
 	// joinRows bounds the rows read at a start, so that a restarted fleet does
 	// not read the whole table once per node.
 	joinRows = 32
-	// Registration is spread over registerSpread, and retried between
-	// registerPause and registerLimit, so that a mass restart stays within the
-	// write rate of the platform.
+	// registerSpread is the least time over which registrations are spread.
 	registerSpread = 2 * time.Second
-	registerPause  = time.Second
-	registerLimit  = time.Minute
+	// registerPerMember lengthens the spread with the size of the mesh. If all
+	// nodes start at once, 100 rows are written per second, a third of the write
+	// rate that the platform is planned with.
+	registerPerMember = 10 * time.Millisecond
+	// settleTime is the wait for the first view of the members.
+	settleTime    = time.Second
+	registerPause = time.Second
+	registerLimit = time.Minute
 )
 
 // source returns the part of the platform that the peer reads.
@@ -67,13 +71,14 @@
 // register writes the row of this node, and creates the table and the bucket
 // if they do not exist. It then waits for the end of ctx.
 func (n *Node) register(ctx context.Context) error {
+	if !sleep(ctx, settleTime) {
+		return nil
+	}
 	pause := registerPause
-	wait := time.Duration(rand.Int64N(int64(registerSpread)))
+	wait := time.Duration(rand.Int64N(int64(registrationSpread(len(n.peer.Members())))))
 	for {
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, wait) {
 			return nil
-		case <-time.After(wait):
 		}
 		err := n.writeRow(ctx)
 		if err == nil {
@@ -86,6 +91,24 @@
 	}
 }
 
+// registrationSpread returns the time over which members nodes that start
+// together spread their writes.
+func registrationSpread(members int) time.Duration {
+	return max(registerSpread, time.Duration(members)*registerPerMember)
+}
+
+// sleep waits for d and reports whether ctx is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 func (n *Node) writeRow(ctx context.Context) error {
 	row := platform.NodeRow{ID: n.id, Addr: n.advertised(), Zone: mesh.AvailabilityZone(n.set.Zone)}
 	err := n.platform.WriteNode(ctx, row)
