Give each rank of a service its own retry budget

In a flood of the lowest rank some urgent requests were refused as overloaded by one gate and not tried at another: the flood had used up the retry budget that all ranks of the service shared (21,965 denials). A lowered concurrency limit was ruled out (10.0 of 10 slots throughout), and so was a lack of gates.

The budgets of all ranks together still allow 20% of the service's requests.

--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -15,7 +15,7 @@
 		return nil, e
 	}
 	q.tried = q.room[:0]
-	b := c.budgets.Of(q.route.Service)
+	b := c.budgets.Of(q.route.Service, q.rank())
 	b.Request(q.arrived)
 	var a *attempt
 	if c.mayHedge(q) {
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -11,13 +11,13 @@
 	// budgetShare is the share of the requests of the window that may be sent
 	// again.
 	budgetShare = 0.2
-	// budgetRate is the rate of retries that a service with few requests may
-	// have in any case, per second and node.
+	// budgetRate is the rate of retries that a rank with few requests may have in
+	// any case, per second, service and node.
 	budgetRate = 0.5
 )
 
-// Budget limits the retries and hedges of one service to a share of its recent
-// requests.
+// Budget limits the retries and hedges of one rank of a service to a share of
+// its recent requests.
 type Budget struct {
 	mu sync.Mutex
 	w  window // a: requests, b: retries and hedges
@@ -43,16 +43,25 @@
 	return true
 }
 
-// Budgets holds the budget of each service. Its zero value is ready for use.
+// Budgets holds a budget for each rank of each service, so that a flood of one
+// rank does not use up the retries of the others. The budgets of all ranks
+// together allow the share of the service's requests that one budget would.
+// Its zero value is ready for use.
 type Budgets struct {
-	m sync.Map // mesh.Service -> *Budget
+	m sync.Map // budgetKey -> *Budget
 }
 
-// Of returns the budget of s.
-func (b *Budgets) Of(s mesh.Service) *Budget {
-	if v, ok := b.m.Load(s); ok {
+type budgetKey struct {
+	service mesh.Service
+	rank    mesh.Rank
+}
+
+// Of returns the budget of rank r of service s.
+func (b *Budgets) Of(s mesh.Service, r mesh.Rank) *Budget {
+	k := budgetKey{s, r}
+	if v, ok := b.m.Load(k); ok {
 		return v.(*Budget)
 	}
-	v, _ := b.m.LoadOrStore(s, new(Budget))
+	v, _ := b.m.LoadOrStore(k, new(Budget))
 	return v.(*Budget)
 }
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -249,3 +249,15 @@
 	sent, _, all = flood(1, 0.1)
 	require.Equal(t, all, sent, "without pressure")
 }
+
+// TestBudgets guards against a flood of one rank that uses up the retries of
+// another.
+func TestBudgets(t *testing.T) {
+	var bs Budgets
+	now := time.Unix(1_000_000, 0)
+	for bs.Of("s", "bulk").Take(now) {
+		bs.Of("s", "bulk").Request(now)
+	}
+	require.False(t, bs.Of("s", "bulk").Take(now))
+	require.True(t, bs.Of("s", "urgent").Take(now))
+}
