--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -102,10 +102,14 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	var v mesh.Version
+	next := 0
 	for part := range slices.Chunk(files, acceptFiles) {
+		// In turn, since each node has its own budget of platform requests.
+		node := next % len(c.Nodes)
+		next++
 		change := mesh.ChangeID(uuid.NewString())
 		err := retry(ctx, func() error {
-			a, err := c.operator(0).Accept(ctx, client.AcceptRequest{Change: change, Operator: "load", Edit: client.Edit{Files: part}})
+			a, err := c.operator(node).Accept(ctx, client.AcceptRequest{Change: change, Operator: "load", Edit: client.Edit{Files: part}})
 			v = a.Version
 			return err
 		})
