--- a/internal/load/edit.go
+++ b/internal/load/edit.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/client"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -129,7 +130,7 @@
 	for _, w := range e.nodes {
 		at, ok := w.since(a.Version)
 		for !ok {
-			if ed.Err = pause(ctx, e.edits.Poll); ed.Err != nil {
+			if ed.Err = wait.For(ctx, e.edits.Poll); ed.Err != nil {
 				return ed
 			}
 			at, ok = w.since(a.Version)
@@ -144,7 +145,7 @@
 func (e *editor) watch(ctx context.Context, i int, w *watched) {
 	client := &http.Client{Transport: &http.Transport{}, Timeout: time.Second}
 	defer client.CloseIdleConnections()
-	if pause(ctx, e.edits.Poll*time.Duration(i)/time.Duration(len(e.c.Nodes))) != nil {
+	if wait.For(ctx, e.edits.Poll*time.Duration(i)/time.Duration(len(e.c.Nodes))) != nil {
 		return
 	}
 	for {
@@ -153,7 +154,7 @@
 				w.add(v, time.Now())
 			}
 		}
-		if pause(ctx, e.edits.Poll) != nil {
+		if wait.For(ctx, e.edits.Poll) != nil {
 			return
 		}
 	}
@@ -174,14 +175,3 @@
 	}
 	return v.Version, json.NewDecoder(resp.Body).Decode(&v)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lavenderrill.dev/lavenderrill/internal/trial"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 )
 
 // Run starts the mesh of x, runs its phases and stops every process again.
@@ -30,7 +31,7 @@
 		}
 	}
 	say("%s: all nodes ready after %v", x.Name, c.started.Round(time.Millisecond))
-	if err := pause(ctx, x.Settle); err != nil {
+	if err := wait.For(ctx, x.Settle); err != nil {
 		return r, err
 	}
 	for i, p := range x.Phases {
@@ -93,7 +94,7 @@
 	for _, st := range streams {
 		loads.Go(func() { st.run(ctx, start, p.Warm, p.Duration) })
 	}
-	if err := pause(ctx, p.Warm); err != nil {
+	if err := wait.For(ctx, p.Warm); err != nil {
 		loads.Wait()
 		return PhaseReport{}, err
 	}
@@ -116,7 +117,7 @@
 		ed := &editor{c: c, edits: *p.Edits, seed: c.x.Seed}
 		others.Go(func() { edits = ed.run(ctx, p.Duration) })
 	}
-	if err := pause(ctx, time.Until(begin.Add(p.Duration))); err != nil {
+	if err := wait.For(ctx, time.Until(begin.Add(p.Duration))); err != nil {
 		loads.Wait()
 		others.Wait()
 		return PhaseReport{}, err
@@ -157,7 +158,7 @@
 	first, firstReads, firstWrites := c.platformRequests(ctx)
 	reads, writes := firstReads, firstWrites
 	last := time.Now()
-	for pause(ctx, time.Second) == nil {
+	for wait.For(ctx, time.Second) == nil {
 		_, r, w := c.platformRequests(context.WithoutCancel(ctx))
 		now := time.Now()
 		secs := now.Sub(last).Seconds()
@@ -184,7 +185,7 @@
 func (c *cluster) watchGates(ctx context.Context) *Gates {
 	g := &Gates{Least: math.Inf(1)}
 	n := 0.0
-	for pause(ctx, time.Second) == nil {
+	for wait.For(ctx, time.Second) == nil {
 		for _, node := range c.Nodes {
 			var v struct {
 				Limit    float64 `json:"gate_limit"`
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -11,6 +11,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/peer"
 	"lavenderrill.dev/lavenderrill/internal/platform"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -71,13 +72,13 @@
 // register writes the row of this node, and creates the table and the bucket
 // if they do not exist. It then waits for the end of ctx.
 func (n *Node) register(ctx context.Context) error {
-	if !sleep(ctx, settleTime) {
+	if wait.For(ctx, settleTime) != nil {
 		return nil
 	}
 	pause := registerPause
-	wait := time.Duration(rand.Int64N(int64(registrationSpread(len(n.peer.Members())))))
+	delay := time.Duration(rand.Int64N(int64(registrationSpread(len(n.peer.Members())))))
 	for {
-		if !sleep(ctx, wait) {
+		if wait.For(ctx, delay) != nil {
 			return nil
 		}
 		err := n.writeRow(ctx)
@@ -86,7 +87,7 @@
 			return nil
 		}
 		n.log.Warn("cannot write the row of this node", zap.Error(err), zap.Duration("retry", pause))
-		wait = pause/2 + time.Duration(rand.Int64N(int64(pause)))
+		delay = pause/2 + time.Duration(rand.Int64N(int64(pause)))
 		pause = min(2*pause, registerLimit)
 	}
 }
@@ -97,18 +98,6 @@
 	return max(registerSpread, time.Duration(members)*registerPerMember)
 }
 
-// sleep waits for d and reports whether ctx is still valid.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (n *Node) writeRow(ctx context.Context) error {
 	row := platform.NodeRow{ID: n.id, Addr: n.advertised(), Zone: mesh.AvailabilityZone(n.set.Zone)}
 	err := n.platform.WriteNode(ctx, row)
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -12,6 +12,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/core/version"
 	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -59,7 +60,7 @@
 			continue
 		}
 		if h.reason == "message" && p.Version() > 0 {
-			if sleep(ctx, jitter(pushWait)) != nil {
+			if wait.For(ctx, jitter(pushWait)) != nil {
 				return nil
 			}
 			if h.version <= p.Version() {
@@ -68,7 +69,7 @@
 		}
 		if !p.fetchFrom(ctx, h) {
 			failures++
-			if sleep(ctx, backoff(failures, pushWait, fetchTimeout)) != nil {
+			if wait.For(ctx, backoff(failures, pushWait, fetchTimeout)) != nil {
 				return nil
 			}
 			continue
--- a/internal/peer/head.go
+++ b/internal/peer/head.go
@@ -10,6 +10,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -47,7 +48,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	if sleep(ctx, p.startWait(time.Now())) != nil {
+	if wait.For(ctx, p.startWait(time.Now())) != nil {
 		return nil
 	}
 	failures := 0
@@ -130,12 +131,12 @@
 
 // readVersion fetches version v from the platform unless a push brings it.
 func (p *Peer) readVersion(ctx context.Context, v mesh.Version, d mesh.Digest) error {
-	wait := jitter(commitWait)
+	longest := jitter(commitWait)
 	if p.Version() == 0 && len(p.someAlive(1)) > 0 {
-		wait = peersWait
+		longest = peersWait
 	}
-	for end := time.Now().Add(wait); time.Now().Before(end); {
-		if err := sleep(ctx, min(time.Until(end), commitWait/4)); err != nil {
+	for end := time.Now().Add(longest); time.Now().Before(end); {
+		if err := wait.For(ctx, min(time.Until(end), commitWait/4)); err != nil {
 			return err
 		}
 		if p.Version() >= v {
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -11,6 +11,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -35,7 +36,7 @@
 // join exchanges views with other nodes: until one has answered, then now and
 // then.
 func (p *Peer) join(ctx context.Context) error {
-	if sleep(ctx, time.Duration(rand.Int64N(int64(joinJitter)))) != nil {
+	if wait.For(ctx, time.Duration(rand.Int64N(int64(joinJitter)))) != nil {
 		return nil
 	}
 	for n := 0; ; n++ {
@@ -46,7 +47,7 @@
 		if joined {
 			break
 		}
-		if sleep(ctx, backoff(n, joinBase, joinLimit)) != nil {
+		if wait.For(ctx, backoff(n, joinBase, joinLimit)) != nil {
 			return nil
 		}
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/core/quota"
 	"lavenderrill.dev/lavenderrill/internal/core/version"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -225,7 +226,7 @@
 		out := p.list.Gossip(time.Now())
 		p.mu.Unlock()
 		p.send(out)
-		if err := sleep(ctx, pause); err != nil {
+		if err := wait.For(ctx, pause); err != nil {
 			return fmt.Errorf("leave: %w", err)
 		}
 	}
@@ -256,7 +257,7 @@
 		p.told = p.list.Changes()
 		p.mu.Unlock()
 		p.cfg.OnMembers(p.Members())
-		if sleep(ctx, interval) != nil {
+		if wait.For(ctx, interval) != nil {
 			return nil
 		}
 	}
@@ -290,18 +291,6 @@
 	}
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // jitter returns a random duration between d/2 and 3d/2.
 func jitter(d time.Duration) time.Duration { return d/2 + time.Duration(rand.Int64N(int64(d))) }
 
--- a/internal/peer/quota.go
+++ b/internal/peer/quota.go
@@ -13,6 +13,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/quota"
 	"lavenderrill.dev/lavenderrill/internal/core/version"
 	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -131,7 +132,7 @@
 // sweepLedger ends the grants of members that are dead or have left, and
 // forgets limits that nobody holds a share of.
 func (p *Peer) sweepLedger(ctx context.Context) error {
-	for sleep(ctx, sweepPeriod) == nil {
+	for wait.For(ctx, sweepPeriod) == nil {
 		if p.ledger.Sweep(time.Now()) == 0 {
 			continue
 		}
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -25,7 +26,7 @@
 			// Linux reports an earlier datagram that could not be delivered as
 			// an error of the socket; the socket stays usable.
 			p.stats.refused.Add("read", 1)
-			if err := sleep(ctx, time.Millisecond); err != nil {
+			if err := wait.For(ctx, time.Millisecond); err != nil {
 				return err
 			}
 			continue
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 )
 
 // Names of the counters of this package.
@@ -89,7 +90,7 @@
 		unsure = unsure || o == ambiguous
 		// A second wait for a platform that does not respond would only keep
 		// the caller longer.
-		if errors.Is(err, context.DeadlineExceeded) || !retryable(op, o, attempt) || !sleep(ctx, backoff(attempt)) {
+		if errors.Is(err, context.DeadlineExceeded) || !retryable(op, o, attempt) || wait.For(ctx, backoff(attempt)) != nil {
 			return failure(ctx, op, unsure, err)
 		}
 		c.metrics.ByReason(RetryCounter).Add(op.name+"_"+string(o), 1)
@@ -217,15 +218,3 @@
 	}
 	return d/2 + rand.N(d/2)
 }
-
-// sleep waits for d and reports whether ctx was still valid at the end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -86,7 +87,7 @@
 	}
 	var rivals, contentions int
 	for attempt := 1; ; attempt++ {
-		if attempt > 1 && !sleep(ctx, rebaseDelay(attempt, rivals, contentions)) {
+		if attempt > 1 && wait.For(ctx, rebaseDelay(attempt, rivals, contentions)) != nil {
 			return Head{}, withoutEffect(ctx, operation{name: "commit"}, ctx.Err())
 		}
 		before := p.head.Version
--- a/internal/platform/schema.go
+++ b/internal/platform/schema.go
@@ -9,6 +9,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
+
+	"lavenderrill.dev/lavenderrill/internal/wait"
 )
 
 const schemaPoll = 200 * time.Millisecond
@@ -55,7 +57,7 @@
 		if out.Table != nil && out.Table.TableStatus == types.TableStatusActive {
 			return nil
 		}
-		if !sleep(ctx, schemaPoll) {
+		if wait.For(ctx, schemaPoll) != nil {
 			return withoutEffect(ctx, c.read("describe_table"), ctx.Err())
 		}
 	}
--- a/internal/platform/transact.go
+++ b/internal/platform/transact.go
@@ -9,6 +9,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 )
 
@@ -59,7 +60,7 @@
 // resolve finds out what became of a transaction that ended with the error
 // unknown.
 func (p *proposal) resolve(ctx context.Context, in *dynamodb.TransactWriteItemsInput, head Head, unknown error) (Head, bool, error) {
-	for attempt := 0; sleep(ctx, backoff(attempt)); attempt++ {
+	for attempt := 0; wait.For(ctx, backoff(attempt)) == nil; attempt++ {
 		p.client.metrics.ByReason(RetryCounter).Add("commit_resolve", 1)
 		h, done, err := p.accepted(ctx)
 		if done || fault.Is(err, fault.BadRequest) {
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -141,7 +142,7 @@
 	// that a caller that has the response finds it in the journal.
 	_, err := io.Copy(io.Discard, r.Body)
 	if err == nil {
-		err = sleep(ctx, j.time)
+		err = wait.For(ctx, j.time)
 	}
 	if err != nil {
 		s.journal.finish(seq, Canceled)
@@ -214,17 +215,3 @@
 	t.left -= len(b)
 	return t.ResponseWriter.Write(b)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -13,6 +13,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"lavenderrill.dev/lavenderrill/internal/wait"
 )
 
 // Server is the stand-in.
@@ -193,7 +195,7 @@
 		defer close(announcing)
 		s.announceLoop(announceCtx)
 	}()
-	if sleep(ctx, s.cfg.ColdStart) == nil {
+	if wait.For(ctx, s.cfg.ColdStart) == nil {
 		s.setState(Ready)
 		<-ctx.Done()
 	}
@@ -232,7 +234,7 @@
 		s.announceLoop(renewCtx)
 	}()
 	idle := time.Now()
-	for sleep(ctx, quiet/10) == nil {
+	for wait.For(ctx, quiet/10) == nil {
 		if s.inFlight.Load() > 0 {
 			idle = time.Now()
 		}
