--- a/internal/core/quota/limiter.go
+++ b/internal/core/quota/limiter.go
@@ -20,10 +20,12 @@
 	firstPart = 0.1
 	// askPeriod is the least time between two asks for one route.
 	askPeriod = time.Second
-	// renewPeriod is the time between two asks while the demand is steady.
-	renewPeriod = 4 * time.Second
-	// steady is the relative change of demand that is not worth an ask.
-	steady = 0.25
+	// renewPeriod is the time between two asks while the share is enough.
+	renewPeriod = 12 * time.Second
+	// enough is the part of the share up to which demand needs no ask. A change
+	// of demand alone is none: a few requests per second vary by more than half.
+	// Only a node that gives back a large part of the rate asks early.
+	enough = 0.8
 	// demandWeight is the weight of the newest period in the demand.
 	demandWeight = 0.5
 	// limitIdle is the time after which an unused limit is forgotten.
@@ -147,8 +149,9 @@
 			return Demand{}, false
 		}
 		h.measure(now)
-		changed := math.Abs(h.wanted-h.told) > steady*h.told
-		if h.told == 0 && h.wanted == 0 || !changed && h.denied == 0 && now.Sub(h.asked) < renewPeriod {
+		short := h.denied > 0 || h.wanted > enough*h.share
+		spare := h.told > firstPart*h.rate && h.wanted < h.told/2
+		if h.told == 0 && h.wanted == 0 || !short && !spare && now.Sub(h.asked) < renewPeriod {
 			return Demand{}, false
 		}
 	}
