Refuse a queued request that cannot end before its deadline

In a flood of the lowest rank requests left the queue just before their deadline and were cut off by it while they ran: they took slots for nothing and ended as outcome_unknown. When more work of the rank waits, such a request is now refused as not run and the next one is served; the last in a queue is still tried.

A shorter queue was ruled out: requests were refused at the door by expected wait in any case.

--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -284,9 +284,11 @@
 		}
 		t := r.queue.pop()
 		m.leave(t)
-		if m.order != Arrival && r.late(at, t) {
-			m.refuse(t, errLate)
-			continue
+		if m.order != Arrival {
+			if e := r.late(at, t); e != nil {
+				m.refuse(t, e)
+				continue
+			}
 		}
 		r.dequeued(at)
 		m.admit(at, t)
--- a/internal/core/admit/machine_test.go
+++ b/internal/core/admit/machine_test.go
@@ -64,6 +64,30 @@
 	require.Equal(t, []*Ticket{long}, m.Done(epoch.Add(2*time.Second), run, time.Second))
 }
 
+// TestTooLittleTime guards against a slot that is given to a request which
+// cannot end before its deadline while another one waits, and against a last
+// request that is refused although the slot is free.
+func TestTooLittleTime(t *testing.T) {
+	m := New(Config{Slots: 1, Ranks: testRanks, Ramp: -1}, epoch)
+	at := time.Duration(0)
+	for range 100 { // the rank learns a service time of 100 ms
+		run := offer(m, at, "low", time.Minute)
+		at += 100 * time.Millisecond
+		m.Done(epoch.Add(at), run, 100*time.Millisecond)
+	}
+	const slow = 200 * time.Millisecond // the running request takes longer than expected
+	run := offer(m, at, "low", time.Minute)
+	short, long := offer(m, at, "low", slow+60*time.Millisecond), offer(m, at, "low", time.Minute)
+	at += slow
+	require.Equal(t, []*Ticket{short, long}, m.Done(epoch.Add(at), run, slow))
+	require.Same(t, errTooShort, short.Refusal())
+	require.Equal(t, Admitted, long.State())
+	last := offer(m, at, "low", slow+60*time.Millisecond)
+	at += slow
+	require.Equal(t, []*Ticket{last}, m.Done(epoch.Add(at), long, slow))
+	require.Equal(t, Admitted, last.State())
+}
+
 // TestRamp guards a cold backend server against all its slots being used at
 // once.
 func TestRamp(t *testing.T) {
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -117,10 +118,20 @@
 	return time.Duration((r.service + spreads*r.spread) * float64(time.Second))
 }
 
-// late reports whether t, which was first in its queue, is to be refused because
-// its answer would miss the target while more work of r waits behind it.
-func (r *rank) late(now time.Duration, t *Ticket) bool {
-	return r.policy.Target > 0 && r.queue.n > 0 && now-t.offered > r.waitBudget()
+// late returns the refusal of t, which was first in its queue, if its answer
+// would miss the target or the deadline while more work of r waits behind it.
+// A request that runs into its deadline takes a slot for nothing and ends with
+// an unknown outcome.
+func (r *rank) late(now time.Duration, t *Ticket) *fault.Error {
+	switch {
+	case r.queue.n == 0:
+		return nil
+	case t.deadline-now < r.expectedService():
+		return errTooShort
+	case r.policy.Target > 0 && now-t.offered > r.waitBudget():
+		return errLate
+	}
+	return nil
 }
 
 // waitBudget returns the longest useful wait: what the service time leaves of
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -71,6 +71,7 @@
 	errTarget    = fault.New(fault.Overloaded, "expected wait exceeds the target of the rank")
 	errEvicted   = fault.New(fault.Overloaded, "displaced by a client account with less waiting work")
 	errLate      = fault.New(fault.Overloaded, "waited too long for the target of the rank")
+	errTooShort  = fault.New(fault.DeadlineExceeded, "too little time was left after the wait")
 	errExpired   = fault.New(fault.DeadlineExceeded, "deadline passed in the queue")
 	errDraining  = fault.New(fault.Draining, "the backend server takes no new work")
 	errNoRanks   = fault.New(fault.NotReady, "no configuration is held yet")
@@ -83,6 +84,7 @@
 	errTarget:    "wait_over_target",
 	errEvicted:   "displaced",
 	errLate:      "late_for_target",
+	errTooShort:  "late_for_deadline",
 	errExpired:   "expired_in_queue",
 	errDraining:  "draining",
 	errNoRanks:   "no_ranks",
