--- a/pkg/config/load_test.go
+++ b/pkg/config/load_test.go
@@ -104,4 +104,5 @@
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(len(m.Encode())), "manifest-bytes")
 }
