Use the usual terms for notification and progress

Names such as teller and told said nothing to a newcomer; they are now notifier, notified and reported, and the function that the load tool reports its progress with is named for that. No behaviour changes.

--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -85,7 +85,7 @@
 	g.decide(g.machine.SetSlots(now, a.Slots))
 	g.follow(now, was)
 	g.mu.Unlock()
-	g.tellEndpoint()
+	g.notifyEndpoint()
 }
 
 // withdraw removes the endpoint.
@@ -96,7 +96,7 @@
 	g.endpoint = backendServer{service: g.endpoint.service}
 	g.follow(time.Now(), was)
 	g.mu.Unlock()
-	g.tellEndpoint()
+	g.notifyEndpoint()
 }
 
 // follow brings admission in line with a change of the endpoint state.
@@ -137,7 +137,7 @@
 	}
 	addr := e.addr
 	g.mu.Unlock()
-	g.tellEndpoint()
+	g.notifyEndpoint()
 	if probe {
 		g.probe(ctx, addr)
 	}
@@ -167,7 +167,7 @@
 	}
 	g.follow(now, was)
 	g.mu.Unlock()
-	g.tellEndpoint()
+	g.notifyEndpoint()
 }
 
 // connectionFailed counts a connection to addr that could not be made or broke
@@ -186,7 +186,7 @@
 		g.follow(now, was)
 	}
 	g.mu.Unlock()
-	g.tellEndpoint()
+	g.notifyEndpoint()
 }
 
 // answered records that the backend server answered.
@@ -222,19 +222,19 @@
 	g.closePools()
 }
 
-// teller passes the endpoint state on, in order and without repetition.
-type teller struct {
+// notifier passes the endpoint state on, in order and without repetition.
+type notifier struct {
 	mu      sync.Mutex
-	tell    func(mesh.Service, int, member.EndpointState)
+	notify  func(mesh.Service, int, member.EndpointState)
 	service mesh.Service
 	slots   int
 	state   member.EndpointState
 }
 
-// tellEndpoint passes the current endpoint state on if it changed. The gate's
+// notifyEndpoint passes the current endpoint state on if it changed. The gate's
 // lock must not be held.
-func (g *Gate) tellEndpoint() {
-	t := &g.told
+func (g *Gate) notifyEndpoint() {
+	t := &g.notifier
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g.mu.Lock()
@@ -244,5 +244,5 @@
 		return
 	}
 	t.service, t.slots, t.state = service, slots, state
-	t.tell(service, slots, state)
+	t.notify(service, slots, state)
 }
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -89,7 +89,7 @@
 	stopping bool          // Drain was called
 	idle     chan struct{} // closed when nothing is in flight and draining
 
-	told teller
+	notifier notifier
 }
 
 // New returns a Gate without an endpoint.
@@ -99,7 +99,7 @@
 	g.machine = admit.New(c.Admission, time.Now())
 	g.figures = newFigures(c.Metrics, g)
 	g.claims = newClaims(c, g.figures)
-	g.told.tell = c.OnEndpoint
+	g.notifier.notify = c.OnEndpoint
 	return g
 }
 
@@ -130,7 +130,7 @@
 	g.drainLocked(time.Now())
 	idle := g.idle
 	g.mu.Unlock()
-	g.tellEndpoint()
+	g.notifyEndpoint()
 	select {
 	case <-idle:
 		return nil
--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -79,8 +79,8 @@
 }
 
 // Write answers a request with e. It must be called before any other part of
-// the answer is written. Errors of the connection are ignored, since the peer
-// that would be told is the one that went away.
+// the answer is written. Errors of the connection are ignored, since nobody
+// is left to be answered.
 func Write(w http.ResponseWriter, e *Error, id mesh.RequestID) {
 	h := w.Header()
 	h.Set(KindHeader, string(e.Kind))
--- a/internal/core/quota/limiter.go
+++ b/internal/core/quota/limiter.go
@@ -51,20 +51,20 @@
 }
 
 type limit struct {
-	mu      sync.Mutex
-	rate    float64 // of the whole mesh
-	share   float64 // granted
-	until   time.Time
-	tokens  float64
-	filled  time.Time // when tokens were last filled; zero at first
-	offered float64   // requests since the last ask
-	denied  int       // of these, denied
-	since   time.Time // start of the demand period
-	wanted  float64   // smoothed demand in requests per second
-	told    float64   // demand of the last ask
-	asked   time.Time
-	settled chan struct{} // closed when the first ask was answered or failed
-	closed  bool          // settled is closed
+	mu       sync.Mutex
+	rate     float64 // of the whole mesh
+	share    float64 // granted
+	until    time.Time
+	tokens   float64
+	filled   time.Time // when tokens were last filled; zero at first
+	offered  float64   // requests since the last ask
+	denied   int       // of these, denied
+	since    time.Time // start of the demand period
+	wanted   float64   // smoothed demand in requests per second
+	reported float64   // demand of the last ask
+	asked    time.Time
+	settled  chan struct{} // closed when the first ask was answered or failed
+	closed   bool          // settled is closed
 }
 
 // SetNodes sets the number of live nodes, this one included.
@@ -150,12 +150,12 @@
 		}
 		h.measure(now)
 		short := h.denied > 0 || h.wanted > enough*h.share
-		spare := h.told > firstPart*h.rate && h.wanted < h.told/2
-		if h.told == 0 && h.wanted == 0 || !short && !spare && now.Sub(h.asked) < renewPeriod {
+		spare := h.reported > firstPart*h.rate && h.wanted < h.reported/2
+		if h.reported == 0 && h.wanted == 0 || !short && !spare && now.Sub(h.asked) < renewPeriod {
 			return Demand{}, false
 		}
 	}
-	h.asked, h.told, h.denied = now, h.wanted, 0
+	h.asked, h.reported, h.denied = now, h.wanted, 0
 	return Demand{Rate: h.rate, Wanted: h.wanted}, true
 }
 
@@ -193,7 +193,7 @@
 	h := l.of(k)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.told = 0
+	h.reported = 0
 	h.settle()
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -13,9 +13,9 @@
 )
 
 // Run starts the mesh of x, runs its phases and stops every process again.
-// Progress is told to say.
-func Run(ctx context.Context, x Experiment, say func(format string, args ...any)) (r Report, err error) {
-	say("%s: start %d nodes", x.Name, x.Mesh.Nodes)
+// Progress messages go to progress.
+func Run(ctx context.Context, x Experiment, progress func(format string, args ...any)) (r Report, err error) {
+	progress("%s: start %d nodes", x.Name, x.Mesh.Nodes)
 	defer func() { err = errors.Join(err, trial.RemoveBuilds()) }()
 	c, err := startCluster(ctx, x)
 	if err != nil {
@@ -30,12 +30,12 @@
 			return r, err
 		}
 	}
-	say("%s: all nodes ready after %v", x.Name, c.started.Round(time.Millisecond))
+	progress("%s: all nodes ready after %v", x.Name, c.started.Round(time.Millisecond))
 	if err := wait.For(ctx, x.Settle); err != nil {
 		return r, err
 	}
 	for i, p := range x.Phases {
-		say("%s: phase %s, %v", x.Name, p.Name, p.Warm+p.Duration)
+		progress("%s: phase %s, %v", x.Name, p.Name, p.Warm+p.Duration)
 		pr, err := c.phase(ctx, p, fmt.Sprintf("%s-%d", x.Name, i))
 		if err != nil {
 			return r, err
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -43,7 +43,7 @@
 
 // Config configures a Peer.
 type Config struct {
-	Self     member.Member  // ID, Zone and Addr must be set; Addr is told to others
+	Self     member.Member  // ID, Zone and Addr must be set; Addr is the address that others use
 	Key      []byte         // shared key of the mesh
 	Join     []mesh.Addr    // peer addresses of nodes to join
 	Listener net.Listener   // closed when Run returns
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -27,8 +27,8 @@
 	pushWait = 150 * time.Millisecond
 	// wantAtOnce is the number of parts asked for in one request.
 	wantAtOnce = 1000
-	// helpers is the number of peers asked for parts before the platform.
-	helpers = 2
+	// partPeers is the number of peers asked for parts before the platform.
+	partPeers = 2
 )
 
 // hint is a member that holds a version above the one held.
@@ -202,7 +202,7 @@
 // gather fetches parts from a few peers, then from the platform.
 func (p *Peer) gather(ctx context.Context, want []mesh.Digest) ([]config.Part, error) {
 	var out []config.Part
-	for _, m := range p.someAlive(helpers) {
+	for _, m := range p.someAlive(partPeers) {
 		got, left, err := p.partsFrom(ctx, m.Addr, want)
 		if err != nil {
 			p.log.Debug("cannot fetch parts", zap.String("node", string(m.ID)), zap.Error(err))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,12 +35,12 @@
 	hop    []byte // token of forwarded requests
 	client *http.Client
 
-	mu    sync.Mutex // guards list
-	list  *member.List
-	view  view
-	told  uint64        // changes that OnMembers was told of
-	wake  chan struct{} // the next tick may be due earlier
-	moved chan struct{} // the members changed
+	mu       sync.Mutex // guards list
+	list     *member.List
+	view     view
+	notified uint64        // changes that OnMembers was called for
+	wake     chan struct{} // the next tick may be due earlier
+	moved    chan struct{} // the members changed
 
 	vmu      sync.Mutex // guards state
 	state    *version.State
@@ -97,7 +97,7 @@
 	}, time.Now())
 	p.client = p.newClient()
 	p.gauges()
-	signal(p.moved) // OnMembers is told of this node itself
+	signal(p.moved) // the first call of OnMembers shows this node alone
 	return p, nil
 }
 
@@ -237,7 +237,7 @@
 func (p *Peer) touched() {
 	signal(p.wake)
 	p.mu.Lock()
-	changed := p.list.Changes() != p.told
+	changed := p.list.Changes() != p.notified
 	p.mu.Unlock()
 	if changed {
 		signal(p.moved)
@@ -254,7 +254,7 @@
 		case <-p.moved:
 		}
 		p.mu.Lock()
-		p.told = p.list.Changes()
+		p.notified = p.list.Changes()
 		p.mu.Unlock()
 		p.cfg.OnMembers(p.Members())
 		if wait.For(ctx, interval) != nil {
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -48,7 +48,7 @@
 	next := p.list.Next()
 	out := p.list.Receive(now, from, m)
 	sooner := p.list.Next().Before(next)
-	changed := p.list.Changes() != p.told
+	changed := p.list.Changes() != p.notified
 	sender, known := p.list.Lookup(m.From)
 	p.mu.Unlock()
 	p.send(out)
@@ -98,7 +98,7 @@
 	pauses := p.list.Counts().Pauses
 	out := p.list.Tick(now)
 	paused := p.list.Counts().Pauses != pauses
-	changed := p.list.Changes() != p.told
+	changed := p.list.Changes() != p.notified
 	p.mu.Unlock()
 	p.send(out)
 	if changed {
