Check the operator token before reading the body of a call

go-kit decodes a request before its endpoint, and with it the token check, runs, so that anybody who reached the operator listener could make a node read and decode 16 MB per call. The token is now checked first; TestTokenFirst fails with the former order. The operator and backend listeners also bound the time for a body, as the caller listener does.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 
 const (
 	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
 	idleTimeout   = time.Minute
 	// leaveTimeout bounds the farewell to the other nodes and to the table.
 	leaveTimeout = 2 * time.Second
@@ -248,7 +249,7 @@
 }
 
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
 }
 
 // serve serves l until ctx is done and lets calls in flight finish.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -268,6 +270,23 @@
 	require.Zero(t, b.current().Version)
 }
 
+// unread is a body that must not be read.
+type unread struct{ t *testing.T }
+
+func (u unread) Read([]byte) (int, error) {
+	u.t.Error("the body of a call without a token was read")
+	return 0, io.EOF
+}
+
+// TestTokenFirst guards against calls without a token that make the node read
+// and decode large bodies.
+func TestTokenFirst(t *testing.T) {
+	b := newBench(t)
+	w := httptest.NewRecorder()
+	b.server.Handler().ServeHTTP(w, httptest.NewRequest("POST", "/v1/accept", unread{t}))
+	require.Equal(t, http.StatusUnauthorized, w.Code)
+}
+
 // TestStatus guards against a status that reports lagging nodes as converged.
 func TestStatus(t *testing.T) {
 	b := newBench(t)
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -34,14 +34,12 @@
 
 // serve makes a handler of f behind the middleware of s.
 func serve[Req, Resp any](s *Server, decode func(*http.Request) (Req, error), f func(context.Context, Req) (Resp, error)) http.Handler {
-	e := endpoint.Chain(s.authenticate, s.count)(typed(f))
-	return httptransport.NewServer(
-		e,
+	return s.authenticated(httptransport.NewServer(
+		s.count(typed(f)),
 		func(_ context.Context, r *http.Request) (any, error) { return decode(r) },
 		httptransport.EncodeJSONResponse,
-		httptransport.ServerBefore(withToken),
 		httptransport.ServerErrorEncoder(s.writeError),
-	)
+	))
 }
 
 // decodeBody reads a JSON body strictly.
@@ -62,26 +60,21 @@
 	return out, nil
 }
 
-type tokenKey struct{}
-
-func withToken(ctx context.Context, r *http.Request) context.Context {
-	t, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	return context.WithValue(ctx, tokenKey{}, t)
-}
-
-// authenticate compares digests, so that the time of the comparison tells
-// nothing about the token.
-func (s *Server) authenticate(next endpoint.Endpoint) endpoint.Endpoint {
+// authenticated refuses calls without the operator token, before their body is
+// read. It compares digests, so that the time of the comparison tells nothing
+// about the token.
+func (s *Server) authenticated(next http.Handler) http.Handler {
 	want := sha256.Sum256([]byte(s.cfg.Token))
-	return func(ctx context.Context, request any) (any, error) {
-		t, _ := ctx.Value(tokenKey{}).(string)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		got := sha256.Sum256([]byte(t))
-		if t == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		if !ok || t == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
 			s.refused.Add(string(fault.Unauthorized), 1)
-			return nil, fault.New(fault.Unauthorized, "operator token is missing or wrong")
+			fault.Write(w, fault.New(fault.Unauthorized, "operator token is missing or wrong"), "")
+			return
 		}
-		return next(ctx, request)
-	}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) count(next endpoint.Endpoint) endpoint.Endpoint {
