Refuse a large header with its kind

net/http answered a header above the bound by itself, as plain text without kind and run state. Headers are now read up to four times the bound, and those above the bound are refused as header_too_large. TestLargeHeader failed before, since the refusal had no kind.

--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -30,6 +30,10 @@
 	q.w.Header()[mesh.RequestHeader] = []string{string(q.id)}
 	depth, deadline := h.Get(mesh.DepthHeader), h.Get(mesh.DeadlineHeader)
 	removeReserved(h)
+	if n := headerSize(q.in); n > c.cfg.MaxHeader {
+		q.w.Header()["Connection"] = closeValue
+		return ctx, fault.Newf(fault.HeaderTooLarge, "header has %d bytes, want at most %d", n, c.cfg.MaxHeader)
+	}
 	if !c.cfg.Ready() {
 		return ctx, fault.New(fault.NotReady, "node is not ready")
 	}
@@ -58,6 +62,19 @@
 	return ctx, nil
 }
 
+// headerSize returns the size of the header of r in bytes, request line
+// included.
+func headerSize(r *http.Request) int {
+	const separators = 4 // colon, space and line end of each field
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // requestID returns s if it is a valid request id, else a new one.
 func requestID(s string) mesh.RequestID {
 	if validID(s) {
--- a/internal/caller/raw_test.go
+++ b/internal/caller/raw_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"net"
 	"net/http"
 	"strings"
@@ -82,3 +83,16 @@
 		})
 	}
 }
+
+// TestLargeHeader guards against a large header that is refused without a kind,
+// and against one beyond all bounds that is read.
+func TestLargeHeader(t *testing.T) {
+	b := newBench(t, newGate(t, "e1", echo))
+	a := b.do("GET", "/read", "", "X-Large", strings.Repeat("a", defaultMaxHeader))
+	require.Equal(t, fault.HeaderTooLarge, a.kind())
+	require.Equal(t, fault.NotRun, a.run())
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, a.code)
+	a = b.do("GET", "/read", "", "X-Large", strings.Repeat("a", 2*headerSlack*defaultMaxHeader))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, a.code)
+	require.Equal(t, 200, b.do("GET", "/read", "", "X-Large", strings.Repeat("a", defaultMaxHeader/2)).code)
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -13,6 +13,10 @@
 )
 
 const (
+	// headerSlack is the multiple of MaxHeader up to which a header is read, so
+	// that one above MaxHeader is refused with its kind. net/http ends longer
+	// ones by itself, with a plain 431.
+	headerSlack  = 4
 	maxStreams   = 250 // concurrent requests of one HTTP/2 connection
 	drainPoll    = 10 * time.Millisecond
 	drainLogName = "caller drained"
@@ -34,7 +38,7 @@
 		ReadHeaderTimeout: c.cfg.HeaderTimeout,
 		IdleTimeout:       c.cfg.IdleTimeout,
 		WriteTimeout:      c.cfg.WriteTimeout,
-		MaxHeaderBytes:    c.cfg.MaxHeader,
+		MaxHeaderBytes:    headerSlack * c.cfg.MaxHeader,
 		ErrorLog:          zap.NewStdLog(c.cfg.Log),
 		ConnState:         c.connState,
 	}
