Grant shares of rates to all nodes that see demand

The demo, run from a fresh clone, had 61 requests refused: the first node that asked for a share got all of the rate that nobody wanted yet and kept it for 12 s, while two others had a quarter of what they needed. The demand was also measured at every look, over spans of a few milliseconds, so that it swung between 2 and 52 requests/s at a steady 9.3 (trace of TestLimitSpread). Half of the unwanted rate is now kept for nodes that have not asked yet, a rate that is more than half wanted is asked for every 2 s, early asks follow at 250 ms, and demand is measured over at least that time.

--- a/internal/caller/quota.go
+++ b/internal/caller/quota.go
@@ -10,7 +10,7 @@
 
 const (
 	// quotaPeriod is the time between two looks at the demands.
-	quotaPeriod = 500 * time.Millisecond
+	quotaPeriod = 250 * time.Millisecond
 	// quotaWait bounds how long a request waits for the first share of its
 	// limit on this node.
 	quotaWait = 200 * time.Millisecond
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -15,6 +15,12 @@
 	// leastPart is the least part of its fair share that a node is granted
 	// while others still hold more than theirs. It bounds the overshoot.
 	leastPart = 0.25
+	// steadyPart is the part of a rate up to which its nodes need to ask only
+	// now and then. Above it shares have to follow the demand.
+	steadyPart = 0.5
+	// sparePart is the part of what nobody wants that is granted beyond the
+	// demands. The rest is for nodes that have not asked yet.
+	sparePart = 0.5
 )
 
 // Demand is what one node asks of an owner.
@@ -26,8 +32,9 @@
 
 // Grant is the share of a rate that a node may use until its lease ends.
 type Grant struct {
-	Key   Key
-	Share float64 // requests per second
+	Key    Key
+	Share  float64 // requests per second
+	Steady bool    // the rate is far from used up
 }
 
 // Ledger keeps the grants of the limited routes that a node owns. It is safe
@@ -73,7 +80,11 @@
 		}
 	}
 	h.share = max(min(fair, free), min(leastPart*fair, free+leastPart*d.Rate), 0)
-	return Grant{Key: d.Key, Share: h.share}
+	wanted := 0.0
+	for _, o := range hs {
+		wanted += o.wanted
+	}
+	return Grant{Key: d.Key, Share: h.share, Steady: wanted <= steadyPart*d.Rate}
 }
 
 // holders returns the holders of k without those whose lease has ended.
@@ -95,8 +106,8 @@
 }
 
 // fairShare returns the max-min fair share of h: no node gets more than it
-// wants while another gets less than it wants. What nobody wants is divided
-// evenly, so that each node has room for a rise.
+// wants while another gets less than it wants. A part of what nobody wants is
+// divided evenly, so that each node has room for a rise.
 func fairShare(hs map[mesh.NodeID]*holder, h *holder, rate float64) float64 {
 	wants := make([]float64, 0, len(hs))
 	for _, o := range hs {
@@ -111,7 +122,7 @@
 		}
 		left -= w
 	}
-	return h.wanted + left/float64(len(wants))
+	return h.wanted + sparePart*left/float64(len(wants))
 }
 
 // Drop ends the grants of node id, which is dead or has left.
--- a/internal/core/quota/limiter.go
+++ b/internal/core/quota/limiter.go
@@ -20,8 +20,16 @@
 	firstPart = 0.1
 	// askPeriod is the least time between two asks for one route.
 	askPeriod = time.Second
-	// renewPeriod is the time between two asks while the share is enough.
+	// The first ask is for a guess. The next earlyAsks follow at earlyPeriod, so
+	// that the shares soon match the demand.
+	earlyAsks   = 3
+	earlyPeriod = 250 * time.Millisecond
+	// renewPeriod is the time between two asks while the share is enough and
+	// the rate is far from used up.
 	renewPeriod = 12 * time.Second
+	// contendedPeriod is that time while much of the rate is in use, so that a
+	// node gives back what others need.
+	contendedPeriod = 2 * time.Second
 	// enough is the part of the share up to which demand needs no ask. A change
 	// of demand alone is none: a few requests per second vary by more than half.
 	// Only a node that gives back a large part of the rate asks early.
@@ -54,6 +62,8 @@
 	mu       sync.Mutex
 	rate     float64 // of the whole mesh
 	share    float64 // granted
+	steady   bool    // as granted
+	asks     int     // so far
 	until    time.Time
 	tokens   float64
 	filled   time.Time // when tokens were last filled; zero at first
@@ -112,7 +122,8 @@
 		h.tokens, h.since = max(1, share*burstTime.Seconds()), now
 	} else {
 		burst := max(leastBurst, share*burstTime.Seconds())
-		h.tokens = min(burst, h.tokens+share*max(now.Sub(h.filled), 0).Seconds())
+		// A smaller share does not take away what was saved up before.
+		h.tokens = max(h.tokens, min(burst, h.tokens+share*max(now.Sub(h.filled), 0).Seconds()))
 	}
 	h.rate, h.filled = rate, now
 	h.offered++
@@ -145,26 +156,39 @@
 	if h.asked.IsZero() {
 		h.wanted = max(1, h.rate*firstPart)
 	} else {
-		if now.Sub(h.asked) < askPeriod {
+		if now.Sub(h.asked) < min(askPeriod, h.period()) {
 			return Demand{}, false
 		}
 		h.measure(now)
 		short := h.denied > 0 || h.wanted > enough*h.share
 		spare := h.reported > firstPart*h.rate && h.wanted < h.reported/2
-		if h.reported == 0 && h.wanted == 0 || !short && !spare && now.Sub(h.asked) < renewPeriod {
+		if h.reported == 0 && h.wanted == 0 || !short && !spare && now.Sub(h.asked) < h.period() {
 			return Demand{}, false
 		}
 	}
 	h.asked, h.reported, h.denied = now, h.wanted, 0
+	h.asks++
 	return Demand{Rate: h.rate, Wanted: h.wanted}, true
 }
 
-// measure takes the demand since the last call into the smoothed demand.
+// period returns the time to the next ask while the share is enough.
+func (h *limit) period() time.Duration {
+	switch {
+	case h.asks <= earlyAsks:
+		return earlyPeriod
+	case !h.steady:
+		return contendedPeriod
+	}
+	return renewPeriod
+}
+
+// measure takes the demand of the present period into the smoothed demand, once
+// the period is long enough to tell a rate.
 func (h *limit) measure(now time.Time) {
-	seconds := now.Sub(h.since).Seconds()
-	if seconds <= 0 {
+	if now.Sub(h.since) < min(askPeriod, h.period()) {
 		return
 	}
+	seconds := now.Sub(h.since).Seconds()
 	h.wanted += demandWeight * (h.offered/seconds - h.wanted)
 	const negligible = 0.01
 	if h.offered == 0 && h.wanted < negligible {
@@ -183,7 +207,7 @@
 		h.tokens += g.Share * max(now.Sub(h.since), 0).Seconds()
 		h.tokens = max(h.tokens, min(g.Share*burstTime.Seconds(), h.rate*firstPart))
 	}
-	h.share, h.until = g.Share, now.Add(Lease)
+	h.share, h.steady, h.until = g.Share, g.Steady, now.Add(Lease)
 	h.settle()
 }
 
--- a/internal/core/quota/limiter_test.go
+++ b/internal/core/quota/limiter_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// TestLimitSpread guards against nodes whose callers together stay within the
+// rate and that are refused because another node holds a share it does not use.
+func TestLimitSpread(t *testing.T) {
+	const rate = 40
+	for _, n := range []int{1, 3, 10} {
+		for _, load := range []float64{0.5, 0.7, 1} {
+			now, ledger := start, new(Ledger)
+			ls := limiters(n, n)
+			for _, seconds := range []int{2, 20} {
+				demand := load * rate / float64(n) // requests per second and node
+				got := admit(ls, rate, &now, seconds, demand, ledger)
+				offered := n * int(demand*float64(seconds))
+				t.Logf("%d nodes, load %.1f: admitted %d of %d in %d s", n, load, got, offered, seconds)
+				require.Greater(t, float64(got), 0.95*float64(offered))
+			}
+		}
+	}
+}
+
 // TestLimitMoves guards against a client that moves to another node and is held
 // back by the grant that the former node no longer uses, whether that node still
 // runs or is dead.
--- a/internal/peer/quota.go
+++ b/internal/peer/quota.go
@@ -64,18 +64,18 @@
 	for len(ds) > 0 {
 		part := ds[:min(len(ds), maxDemands)]
 		ds = ds[len(part):]
-		shares, err := p.askShares(ctx, o, part)
+		a, err := p.askShares(ctx, o, part)
 		for i, d := range part {
 			if err != nil {
 				failed(d.Key)
 			} else {
-				granted(quota.Grant{Key: d.Key, Share: shares[i]})
+				granted(quota.Grant{Key: d.Key, Share: a.GetShares()[i], Steady: a.GetSteady()[i]})
 			}
 		}
 	}
 }
 
-func (p *Peer) askShares(ctx context.Context, o member.Member, ds []quota.Demand) ([]float64, error) {
+func (p *Peer) askShares(ctx context.Context, o member.Member, ds []quota.Demand) (*peerpb.QuotaResponse, error) {
 	q := &peerpb.QuotaRequest{From: string(p.cfg.Self.ID)}
 	for _, d := range ds {
 		q.Demands = append(q.Demands, &peerpb.QuotaDemand{
@@ -86,10 +86,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(a.GetShares()) != len(ds) {
+	if len(a.GetShares()) != len(ds) || len(a.GetSteady()) != len(ds) {
 		return nil, fmt.Errorf("quota: %d shares for %d demands", len(a.GetShares()), len(ds))
 	}
-	return a.GetShares(), nil
+	return a, nil
 }
 
 // Quota implements peerpbconnect.PeerServiceHandler.
@@ -110,6 +110,7 @@
 			Wanted: d.GetWanted(),
 		})
 		a.Shares = append(a.Shares, g.Share)
+		a.Steady = append(a.Steady, g.Steady)
 	}
 	return connect.NewResponse(a), nil
 }
