Give the document rows of an accept a read budget of their own

An accept of 92 new documents took 21.8 s, close to the time-out of the command: it reads one row per new document under the general budget of 4 reads/s, which is meant for reads that nobody waits for. Skipping the read was ruled out: the row holds the revision of a document that was removed before. Accepts are rare, 0.08 a second over the whole mesh at the planned size.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -49,6 +49,13 @@
 	return operation{name: name, budget: c.budgets.writes, refusal: "write_budget", effect: true, repeat: repeat}
 }
 
+// documentRead is a read on the budget of document rows. An accept of new
+// documents reads one row for each, so that the general budget would let it wait
+// for a quarter of a second per document.
+func (c *Client) documentRead() operation {
+	return operation{name: "get_doc", budget: c.budgets.documents, refusal: "document_budget", repeat: true}
+}
+
 // claimWrite is a write on the budget of claim rows.
 func (c *Client) claimWrite(name string) operation {
 	return operation{name: name, budget: c.budgets.claims, refusal: "claim_budget", effect: true, repeat: true}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -34,6 +34,7 @@
 	Writes       rate.Limit // table writes per second, one transaction counting as one; 2
 	Burst        int        // burst of Reads, of Writes and of Claims; 10
 	Claims       rate.Limit // claim rows written and deleted per second; 2, see SetClaimRate
+	Documents    rate.Limit // reads of document rows per second, for accepts; 50
 	Polls        rate.Limit // reads of the head by the reader role per second; 2
 	ObjectReads  rate.Limit // object reads per second; 100
 	ObjectWrites rate.Limit // object writes per second; 8
@@ -49,6 +50,7 @@
 	defaultReads        = 4
 	defaultWrites       = 2
 	defaultClaims       = 2
+	defaultDocuments    = 50
 	defaultBurst        = 10
 	defaultPolls        = 2
 	defaultObjectReads  = 100
@@ -76,7 +78,7 @@
 
 type names struct{ table, bucket string }
 
-type budgets struct{ reads, writes, claims, polls, objectReads, objectWrites *rate.Limiter }
+type budgets struct{ reads, writes, claims, documents, polls, objectReads, objectWrites *rate.Limiter }
 
 // New returns a client for c. It makes no request and reads no environment
 // variable, file or instance metadata.
@@ -112,6 +114,7 @@
 			reads:        rate.NewLimiter(cmp.Or(c.Reads, defaultReads), burst),
 			writes:       rate.NewLimiter(cmp.Or(c.Writes, defaultWrites), burst),
 			claims:       rate.NewLimiter(cmp.Or(c.Claims, defaultClaims), burst),
+			documents:    rate.NewLimiter(cmp.Or(c.Documents, defaultDocuments), MaxEdits),
 			polls:        rate.NewLimiter(cmp.Or(c.Polls, defaultPolls), burst),
 			objectReads:  rate.NewLimiter(cmp.Or(c.ObjectReads, defaultObjectReads), objectBurst),
 			objectWrites: rate.NewLimiter(cmp.Or(c.ObjectWrites, defaultObjectWrites), objectBurst),
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -238,7 +238,7 @@
 }
 
 func (p *proposal) readRow(ctx context.Context, k config.DocumentKey) (mesh.Revision, error) {
-	i, err := p.client.get(ctx, p.client.read("get_doc"), docPartition, string(k))
+	i, err := p.client.get(ctx, p.client.documentRead(), docPartition, string(k))
 	if err != nil {
 		return 0, err
 	}
