Count false not run and interrupted stops as broken invariants

The gate and the caller side now count a refusal that says not run although the request, or an earlier attempt of it, may have reached a backend server, and a node counts and logs a planned stop that outlasts its drain time.

--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"lavenderrill.dev/lavenderrill/pkg/config"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -272,3 +273,13 @@
 	}
 	send(t, r.request(t, http.MethodPost, "", 0)).requireRefusal(t, fault.DeadlineExceeded, fault.NotRun)
 }
+
+// TestFalseNotRunCounted guards against a refusal that claims not run for a
+// request which the backend server may have, and that nobody notices.
+func TestFalseNotRunCounted(t *testing.T) {
+	g := New(Config{ID: "n", Snapshot: func() *config.Snapshot { return nil }})
+	g.refuse(httptest.NewRecorder(), &call{}, fault.New(fault.Overloaded, "full"))
+	require.Equal(t, "{}", g.figures.registry.ByReason("invariant_broken").String())
+	g.refuse(httptest.NewRecorder(), &call{mayHaveRun: true}, fault.New(fault.Overloaded, "full"))
+	require.Contains(t, g.figures.registry.ByReason("invariant_broken").String(), "gate_false_not_run")
+}
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -30,7 +30,10 @@
 	pools    *hop.Pools
 	bulk     bool
 	latency  time.Duration // time to the response header, 0 if it says nothing about load
-	notRun   func()        // called before an answer that says not run; may be nil
+
+	mayHaveRun bool // the backend server may have the request
+
+	notRun func() // called before an answer that says not run; may be nil
 }
 
 // Hop serves requests that other nodes forward. They must be authenticated.
@@ -320,6 +323,7 @@
 	out.Header.Set(mesh.DeadlineHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	start := time.Now()
 	resp, sent, err := c.pools.For(c.bulk).RoundTrip(ctx, out)
+	c.mayHaveRun = err == nil || sent == hop.MayHaveRun
 	if err != nil {
 		return nil, g.failure(ctx, c, sent, err)
 	}
@@ -403,6 +407,9 @@
 // refuse answers c with e.
 func (g *Gate) refuse(w http.ResponseWriter, c *call, e *fault.Error) {
 	g.figures.refuse(e)
+	if e.Run == fault.NotRun && c.mayHaveRun {
+		g.figures.registry.InvariantBroken("gate_false_not_run")
+	}
 	w.Header().Set(mesh.RequestHeader, string(c.id))
 	g.setPressure(w)
 	fault.Write(w, e, c.id)
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -17,6 +17,9 @@
 // refuse answers q with e.
 func (c *Caller) refuse(q *call, e *fault.Error) {
 	c.counts.refused.Add(string(e.Kind), 1)
+	if e.Run == fault.NotRun && q.mayHaveRun {
+		c.cfg.Metrics.InvariantBroken("caller_false_not_run")
+	}
 	if q.route != nil {
 		c.counts.rank(q.rank()).done(q, false)
 		q.setVersion()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,8 +234,12 @@
 	defer cancel()
 	drained := make(chan error)
 	go func() { drained <- n.gate.Drain(ctx) }()
-	errs := []error{n.caller.Drain(ctx), <-drained}
-	return errors.Join(append(errs, n.leave())...)
+	err := errors.Join(n.caller.Drain(ctx), <-drained)
+	if err != nil {
+		n.metrics.InvariantBroken("stop_interrupted")
+		n.log.Error("requests in flight outlasted the drain time and are interrupted", zap.Error(err))
+	}
+	return errors.Join(err, n.leave())
 }
 
 func (n *Node) leave() error {
