Use one duration type in both fault-injecting stand-ins

The relay and the platform stand-ins each had a duration that is text in JSON, line for line the same. The relay now uses that of package inject; its own name stays as an alias, so that callers do not change. The tests of the stand-ins and TestTruncation, TestPartition and TestPath passed afterwards.

--- a/internal/standin/relay/faults.go
+++ b/internal/standin/relay/faults.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/inject"
 )
 
 // Direction is one of the two directions through a relay, or both.
@@ -19,20 +20,7 @@
 func (d Direction) covers(one Direction) bool { return d == Both || d == one }
 
 // Duration is a time.Duration that is text such as "150ms" in JSON.
-type Duration time.Duration
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(b []byte) error {
-	p, err := time.ParseDuration(string(b))
-	if err != nil {
-		return err
-	}
-	*d = Duration(p)
-	return nil
-}
+type Duration = inject.Duration
 
 // Faults are the faults on the path of one source. The zero value has none.
 type Faults struct {
