Run a node on the users' platform (first whole path)

The node command 'hosted' wires the present caller side, gate and membership to the platform: settings file, metadata store, heartbeats, readiness and headers are translated by the folder platform/, which decides nothing. The product gains traffic splits, literal prefixes, the calling service, expected instances, an idle limit that follows the configuration, a retry budget over all nodes and keep-alive probes on outgoing connections.

Every node watches the configuration in the store itself; nodes find each other by rows written at start, then by the present membership protocol.

--- /dev/null
+++ b/cmd/lavenderrill/hosted.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/hosted"
+	"lavenderrill.dev/lavenderrill/platform"
+)
+
+func hostedCommand(app *kingpin.Application) command {
+	c := app.Command("hosted", `Runs a node on a platform that provides its settings, store and heartbeats.
+
+The path of the settings file is read from `+platform.SettingsEnv+`. SIGHUP reads the
+file again; SIGTERM stops the node within the grace time of the settings.`)
+	var level, metrics string
+	c.Flag("log-level", "Least level that is logged: debug, info, warn or error.").
+		Envar("LAVENDERRILL_LOG_LEVEL").Default("info").StringVar(&level)
+	c.Flag("metrics", "Listen address of the metrics; none if empty.").
+		Envar("LAVENDERRILL_METRICS").StringVar(&metrics)
+	return command{c, func(ctx context.Context) error {
+		log, err := newLogger("json", level)
+		if err != nil {
+			return fault.Newf(fault.Settings, "log: %w", err)
+		}
+		path := os.Getenv(platform.SettingsEnv)
+		if path == "" {
+			return fault.New(fault.Settings, platform.SettingsEnv+" is not set")
+		}
+		n, err := hosted.New(path, metrics, log)
+		if err != nil {
+			return err
+		}
+		return n.Run(ctx)
+	}}
+}
--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -31,13 +31,14 @@
 // second. Health and Load are paths of its health and load endpoints, for
 // operators: the gate does not ask them, since their answers lag or mislead.
 type Announcement struct {
-	Service     mesh.Service `json:"service"`
-	Addr        mesh.Addr    `json:"addr"`
-	Slots       int          `json:"slots"`
-	Connections int          `json:"connections"`
-	State       string       `json:"state"` // starting, ready or draining
-	Health      string       `json:"health"`
-	Load        string       `json:"load"`
+	Service     mesh.Service  `json:"service"`
+	Addr        mesh.Addr     `json:"addr"`
+	Instance    mesh.Instance `json:"instance,omitempty"` // changes with each start of the backend server
+	Slots       int           `json:"slots"`
+	Connections int           `json:"connections"`
+	State       string        `json:"state"` // starting, ready or draining
+	Health      string        `json:"health"`
+	Load        string        `json:"load"`
 }
 
 // Accepted answers an announcement.
@@ -69,19 +70,31 @@
 
 func (g *Gate) announceEndpoint() endpoint.Endpoint {
 	return func(_ context.Context, request any) (any, error) {
-		a := request.(Announcement)
-		state, err := a.check()
-		if err != nil {
+		if err := g.Announce(request.(Announcement)); err != nil {
 			return nil, err
 		}
-		g.announce(a, state)
 		return g.accepted(), nil
 	}
 }
 
+// Announce takes in what the backend server says about itself. It returns an
+// error that names every fault of a, and changes nothing then.
+func (g *Gate) Announce(a Announcement) error {
+	state, err := a.check()
+	if err != nil {
+		return err
+	}
+	g.announce(a, state)
+	return nil
+}
+
+// Withdraw removes the backend server: it takes no new requests, those in
+// flight go on.
+func (g *Gate) Withdraw() { g.withdraw() }
+
 func (g *Gate) withdrawEndpoint() endpoint.Endpoint {
 	return func(context.Context, any) (any, error) {
-		g.withdraw()
+		g.Withdraw()
 		return g.accepted(), nil
 	}
 }
--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -34,6 +34,7 @@
 type backendServer struct {
 	service      mesh.Service
 	addr         mesh.Addr
+	instance     mesh.Instance // "" if it is not known
 	slots        int
 	connections  int
 	announced    member.EndpointState // as the backend server says
@@ -69,9 +70,9 @@
 	g.mu.Lock()
 	e := &g.endpoint
 	was := g.endpointState()
-	if a.Addr != e.addr || a.Service != e.service {
+	if a.Addr != e.addr || a.Service != e.service || a.Instance != e.instance {
 		g.closePools()
-		*e = backendServer{service: a.Service, addr: a.Addr}
+		*e = backendServer{service: a.Service, addr: a.Addr, instance: a.Instance}
 		g.machine.Restart(now) // another process, which starts cold
 		g.log.Info("backend server announced", zap.String("service", string(a.Service)), zap.String("addr", string(a.Addr)))
 	}
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/admit"
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/pkg/config"
@@ -36,6 +38,10 @@
 	Claim        func(ctx context.Context, key, owner string, ttl time.Duration) (ClaimResult, error)
 	ReleaseClaim func(ctx context.Context, key, owner string) error
 
+	// Dialect translates the hop to the backend server; the headers of the mesh
+	// are used if it is zero.
+	Dialect Dialect
+
 	Metrics *metric.Registry
 	Log     *zap.Logger
 
@@ -74,6 +80,17 @@
 	}
 }
 
+// Dialect holds the functions that translate between the headers of the mesh and
+// those that the backend server knows. Nil functions change nothing.
+type Dialect struct {
+	// Request changes the header of a request to a backend server. The instance
+	// is the one that the gate holds for the address, "" if it is not known.
+	Request func(h http.Header, instance mesh.Instance)
+	// Response changes a response of a backend server. A refusal that it
+	// returns takes the place of the response.
+	Response func(*http.Response) *fault.Error
+}
+
 // Gate is the gate of one node. It is safe for concurrent use.
 type Gate struct {
 	conf    Config
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -27,6 +27,7 @@
 	decided chan struct{} // receives once when a queued ticket is decided
 
 	endpoint mesh.Addr
+	instance mesh.Instance
 	pools    *hop.Pools
 	bulk     bool
 	latency  time.Duration // time to the response header, 0 if it says nothing about load
@@ -195,7 +196,8 @@
 		return e
 	}
 	g.applySnapshot(now)
-	c.endpoint, c.pools, c.bulk = g.endpoint.addr, g.endpoint.pools, g.isBulk(c.Rank)
+	c.endpoint, c.instance = g.endpoint.addr, g.endpoint.instance
+	c.pools, c.bulk = g.endpoint.pools, g.isBulk(c.Rank)
 	g.decide(g.machine.Offer(now, &c.Ticket))
 	state := c.State()
 	if state == admit.Admitted {
@@ -321,6 +323,9 @@
 	out.Header.Del(mesh.HopHeader)
 	left := time.Until(c.Deadline)
 	out.Header.Set(mesh.DeadlineHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	if f := g.conf.Dialect.Request; f != nil {
+		f(out.Header, c.instance)
+	}
 	start := time.Now()
 	resp, sent, err := c.pools.For(c.bulk).RoundTrip(ctx, out)
 	c.mayHaveRun = err == nil || sent == hop.MayHaveRun
@@ -360,6 +365,12 @@
 
 // checkAnswer returns resp unless it cannot be the response to c.
 func (g *Gate) checkAnswer(c *call, resp *http.Response) (*http.Response, *fault.Error) {
+	if f := g.conf.Dialect.Response; f != nil {
+		if e := f(resp); e != nil {
+			resp.Body.Close()
+			return nil, e
+		}
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		resp.Body.Close()
 		return nil, fault.New(fault.OutcomeUnknown, "the backend server switched protocols")
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -95,8 +95,9 @@
 		strconv.FormatUint(uint64(q.table.Snapshot().Version), 10),
 		string(q.route.Policy.Name),
 		string(q.route.Account),
-		string(q.route.Service),
+		string(q.service),
 		q.route.Name,
+		string(c.cfg.Service),
 	}
 	for i, k := range hopHeaderNames {
 		h[k] = vs[i : i+1 : i+1]
@@ -124,6 +125,7 @@
 	mesh.AccountHeader,
 	mesh.ServiceHeader,
 	mesh.RouteHeader,
+	mesh.CallerHeader,
 }
 
 // failed sets the fault of an attempt without response.
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -21,6 +21,7 @@
 
 	table    *route.Table // one table for the whole request
 	route    *route.Route
+	service  mesh.Service // the service of the route or one of its shares
 	deadline time.Time
 	ctx      context.Context    // ends at the deadline
 	cancel   context.CancelFunc // of the deadline
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/go-kit/kit/endpoint"
 	"go.uber.org/zap"
 
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/core/quota"
 	"lavenderrill.dev/lavenderrill/internal/core/retry"
@@ -45,9 +47,20 @@
 	Snapshot func() *config.Snapshot // current configuration, nil before the first
 	HopToken string                  // authenticates requests to gates
 	Ready    func() bool             // whether callers may be served; always if nil
+	Service  mesh.Service            // service of the backend server beside this node
 	Metrics  *metric.Registry
 	Log      *zap.Logger
 
+	// Keep names the reserved headers of a response that callers are given.
+	Keep []string
+	// Entry wraps the handler of callers, to translate their headers; may be nil.
+	Entry func(http.Handler) http.Handler
+	// ConnState is called with every change of the state of a connection; may be
+	// nil. See http.Server.ConnState.
+	ConnState func(net.Conn, http.ConnState)
+	// Refuse answers a request with a refusal; fault.Write if nil.
+	Refuse func(http.ResponseWriter, *fault.Error, mesh.RequestID)
+
 	MaxHeader     int           // bytes of a request header
 	MaxBody       int64         // bytes of a request body
 	HeaderTimeout time.Duration // for reading a request header
@@ -74,6 +87,9 @@
 	if c.Ready == nil {
 		c.Ready = func() bool { return true }
 	}
+	if c.Refuse == nil {
+		c.Refuse = fault.Write
+	}
 	if c.Metrics == nil {
 		c.Metrics = metric.New()
 	}
@@ -140,6 +156,9 @@
 	c.limits.SetNodes(alive)
 }
 
+// SetRetryBudget sets the limit of repeated requests by rank and service.
+func (c *Caller) SetRetryBudget(l retry.Limit) { c.budgets.SetLimit(l) }
+
 // Run keeps the routing table and the shares of rates up to date until ctx ends.
 // It returns nil.
 func (c *Caller) Run(ctx context.Context) error {
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -15,7 +15,7 @@
 		return nil, e
 	}
 	q.tried = q.room[:0]
-	b := c.budgets.Of(q.route.Service, q.rank())
+	b := c.budgets.Of(q.service, q.rank())
 	b.Request(q.arrived)
 	var a *attempt
 	if c.mayHedge(q) {
@@ -23,7 +23,7 @@
 	} else {
 		a = c.sequence(ctx, q, b)
 	}
-	c.throttles.Done(q.route.Service, q.rank(), !refusedForLoad(a.fault), time.Now())
+	c.throttles.Done(q.service, q.rank(), !refusedForLoad(a.fault), time.Now())
 	if a.fault != nil {
 		return nil, q.outcome(a.fault)
 	}
@@ -110,7 +110,7 @@
 // pick starts the next attempt of q, or returns nil if no endpoint is left.
 func (c *Caller) pick(q *call) *attempt {
 	now := time.Now()
-	e := c.picker.Pick(q.route.Service, q.rank(), q.tried, now)
+	e := c.picker.Pick(q.service, q.rank(), q.tried, now)
 	if e == nil {
 		return nil
 	}
--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -98,11 +99,11 @@
 	return true
 }
 
-// removeReserved deletes all headers of the mesh. Those that a caller may set
+// removeReserved deletes all headers of the mesh but those in keep. Those that a caller may set
 // were read before.
-func removeReserved(h http.Header) {
+func removeReserved(h http.Header, keep ...string) {
 	for k := range h {
-		if strings.HasPrefix(k, reservedPrefix) {
+		if strings.HasPrefix(k, reservedPrefix) && !slices.Contains(keep, k) {
 			delete(h, k)
 		}
 	}
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -30,7 +30,7 @@
 	c.cfg.Log.Debug("request refused", zap.String("request", string(q.id)),
 		zap.String("kind", string(e.Kind)), zap.String("reason", e.Reason))
 	abandonBody(q)
-	fault.Write(q.w, e, q.id)
+	c.cfg.Refuse(q.w, e, q.id)
 }
 
 // abandonBody limits the time for the rest of the body of a refused request.
@@ -57,7 +57,7 @@
 func (c *Caller) respond(q *call, a *attempt) {
 	resp := a.resp
 	delete(resp.Header, mesh.RequestHeader) // set by identify
-	removeReserved(resp.Header)
+	removeReserved(resp.Header, c.cfg.Keep...)
 	q.setVersion()
 	c.limitWrites(q, resp)
 	hop.CopyHeader(q.w, resp)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -44,7 +44,10 @@
 	}
 }
 
-func (c *Caller) connState(_ net.Conn, s http.ConnState) {
+func (c *Caller) connState(nc net.Conn, s http.ConnState) {
+	if c.cfg.ConnState != nil {
+		c.cfg.ConnState(nc, s)
+	}
 	switch s {
 	case http.StateNew:
 		c.conns.Add(1)
@@ -54,7 +57,16 @@
 }
 
 // Handler returns the handler for requests of callers.
-func (c *Caller) Handler() http.Handler { return http.HandlerFunc(c.handle) }
+func (c *Caller) Handler() http.Handler {
+	if c.cfg.Entry != nil {
+		return c.cfg.Entry(http.HandlerFunc(c.handle))
+	}
+	return http.HandlerFunc(c.handle)
+}
+
+// CloseKept tells callers with each response to close their connection. Requests
+// go on being served.
+func (c *Caller) CloseKept() { c.draining.Store(true) }
 
 func (c *Caller) handle(w http.ResponseWriter, r *http.Request) {
 	c.active.Add(1)
--- a/internal/caller/steps.go
+++ b/internal/caller/steps.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/route"
 	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
 // gateGrace is the time after the deadline for which the refusal of a gate is
@@ -31,7 +33,7 @@
 		}
 		return ctx, e
 	}
-	q.route = r
+	q.route, q.service = r, serviceOf(r, rand.IntN)
 	limit := r.Deadline
 	if limit <= 0 {
 		limit = c.cfg.Deadline
@@ -43,12 +45,39 @@
 	return q.ctx, nil
 }
 
+// serviceOf returns the service of one request on r: that of the route, or one
+// of its shares with a probability in proportion to the weight. Next returns a
+// random number below its argument.
+func serviceOf(r *route.Route, next func(int) int) mesh.Service {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Service
+	}
+	n := next(total)
+	for _, s := range r.Split {
+		if n < s.Weight {
+			return s.Service
+		}
+		n -= s.Weight
+	}
+	return r.Service
+}
+
 // match returns the route of r, or the refusal and the methods of the path.
 func match(t *route.Table, r *http.Request) (*route.Route, []string, *fault.Error) {
 	host, err := route.NormalHost(r.Host)
 	if err != nil {
 		return nil, nil, fault.Newf(fault.BadRequest, "%w", err)
 	}
+	if t.Snapshot().Literal {
+		if m := t.MatchLiteral(host, r.URL.EscapedPath()); m != nil {
+			return m, nil, nil
+		}
+		return nil, nil, fault.New(fault.NoRoute, "no route matches host and path")
+	}
 	path, err := route.NormalURL(r.URL)
 	if err != nil {
 		return nil, nil, fault.Newf(fault.BadRequest, "%w", err)
@@ -70,7 +99,7 @@
 
 // throttle refuses a share of the requests that gates would refuse.
 func (c *Caller) throttle(ctx context.Context, q *call) (context.Context, error) {
-	s, rank := q.route.Service, q.rank()
+	s, rank := q.service, q.rank()
 	pressed := func() bool { return c.picker.Pressure(s, rank, q.arrived) >= throttlePressure }
 	if c.throttles.Allow(s, rank, q.arrived, pressed) {
 		return ctx, nil
--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -21,6 +22,8 @@
 	Run    Run
 	Reason string
 	Err    error // cause, may be nil
+	// After is the time after which the caller may try again, 0 if not known.
+	After time.Duration
 }
 
 // New returns an error of kind k with the default run state of k.
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -2,11 +2,19 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
+// Limit is what one rank of a service may send again in a window of 10 s: Share
+// of its requests, and Slack more.
+type Limit struct {
+	Share float64
+	Slack float64
+}
+
 const (
 	// budgetShare is the share of the requests of the window that may be sent
 	// again.
@@ -19,8 +27,9 @@
 // Budget limits the retries and hedges of one rank of a service to a share of
 // its recent requests.
 type Budget struct {
-	mu sync.Mutex
-	w  window // a: requests, b: retries and hedges
+	limit *atomic.Pointer[Limit] // nil or empty: the default
+	mu    sync.Mutex
+	w     window // a: requests, b: retries and hedges
 }
 
 // Request counts a first attempt.
@@ -36,19 +45,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	requests, retries := b.w.sums(now)
-	if retries+1 > budgetShare*requests+budgetRate*windowWidth.Seconds() {
+	l := b.bound()
+	if retries+1 > l.Share*requests+l.Slack {
 		return false
 	}
 	b.w.add(now, 0, 1)
 	return true
 }
 
+// bound returns the limit in force.
+func (b *Budget) bound() Limit {
+	if b.limit != nil {
+		if l := b.limit.Load(); l != nil {
+			return *l
+		}
+	}
+	return Limit{Share: budgetShare, Slack: budgetRate * windowWidth.Seconds()}
+}
+
 // Budgets holds a budget for each rank of each service, so that a flood of one
 // rank does not use up the retries of the others. The budgets of all ranks
 // together allow the share of the service's requests that one budget would.
 // Its zero value is ready for use.
 type Budgets struct {
-	m sync.Map // budgetKey -> *Budget
+	m     sync.Map // budgetKey -> *Budget
+	limit atomic.Pointer[Limit]
 }
 
 type budgetKey struct {
@@ -56,12 +77,15 @@
 	rank    mesh.Rank
 }
 
+// SetLimit sets the limit of every budget of b.
+func (b *Budgets) SetLimit(l Limit) { b.limit.Store(&l) }
+
 // Of returns the budget of rank r of service s.
 func (b *Budgets) Of(s mesh.Service, r mesh.Rank) *Budget {
 	k := budgetKey{s, r}
 	if v, ok := b.m.Load(k); ok {
 		return v.(*Budget)
 	}
-	v, _ := b.m.LoadOrStore(k, new(Budget))
+	v, _ := b.m.LoadOrStore(k, &Budget{limit: &b.limit})
 	return v.(*Budget)
 }
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -60,11 +60,33 @@
 			t.anyHost = ps
 		}
 	}
-	p := strings.TrimRight(r.Path, "/")
+	p := r.Path
+	if !t.snapshot.Literal {
+		p = strings.TrimRight(r.Path, "/")
+	}
 	ps.routes[p] = append(ps.routes[p], r)
 	ps.longest = max(ps.longest, len(p))
 }
 
+// MatchLiteral returns the route of the given host whose path is the longest
+// prefix of path, which is compared as it was sent. The snapshot must be
+// literal. It returns nil if no route matches.
+func (t *Table) MatchLiteral(host, path string) *Route {
+	ps := t.hosts[host]
+	if ps == nil {
+		return nil
+	}
+	for end := min(len(path), ps.longest); end > 0; end-- {
+		if path[end-1] != '/' {
+			continue
+		}
+		if rs := ps.routes[path[:end]]; rs != nil {
+			return rs[0]
+		}
+	}
+	return nil
+}
+
 // Snapshot returns the snapshot that t was built from.
 func (t *Table) Snapshot() *config.Snapshot { return t.snapshot }
 
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -9,6 +9,26 @@
 	"time"
 )
 
+// Probes of silent connections. A connection whose peer or path is gone without a
+// reset is found within keepAliveIdle + keepAliveCount*keepAlivePeriod, in time
+// for most requests to be sent again.
+const (
+	keepAliveIdle   = time.Second
+	keepAlivePeriod = 500 * time.Millisecond
+	keepAliveCount  = 2
+)
+
+// Dialer returns a dialer whose connections end soon after their peer falls
+// silent.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveCount,
+		},
+	}
+}
+
 // Sent says how much of a request can have reached the peer.
 type Sent uint8
 
@@ -35,7 +55,6 @@
 	defaultIdleTimeout = 30 * time.Second
 	defaultHeaderBytes = 64 << 10
 	continueTimeout    = time.Second
-	keepAlivePeriod    = 15 * time.Second
 )
 
 // Config holds the settings of a Transport. Zero fields get defaults.
@@ -96,7 +115,7 @@
 func (c Config) dialer() func(ctx context.Context, network, addr string) (net.Conn, error) {
 	dial := c.Dial
 	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: keepAlivePeriod}).DialContext
+		dial = Dialer(c.DialTimeout).DialContext
 	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
--- /dev/null
+++ b/internal/hosted/node.go
@@ -0,0 +1,434 @@
+package hosted
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/backend"
+	"lavenderrill.dev/lavenderrill/internal/caller"
+	"lavenderrill.dev/lavenderrill/internal/core/admit"
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/internal/peer"
+	"lavenderrill.dev/lavenderrill/internal/settings"
+	"lavenderrill.dev/lavenderrill/internal/wait"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+	"lavenderrill.dev/lavenderrill/platform"
+)
+
+const (
+	// leaseHeartbeats is the number of heartbeats that may be missing before the
+	// backend server counts as failed. Single ones are seconds late.
+	leaseHeartbeats = 4
+	// joinLimit bounds the wait between two attempts to join.
+	joinLimit = time.Second
+	// hopDialTimeout bounds a connection attempt to another node of the region.
+	hopDialTimeout = 300 * time.Millisecond
+	// hopIdle is the time for which an unused connection to a gate is kept.
+	hopIdle = 30 * time.Second
+	// headerTimeout bounds the header of a request to the small listeners.
+	headerTimeout = 5 * time.Second
+)
+
+// Node is one node on a platform.
+type Node struct {
+	set     atomic.Pointer[settings.Hosted]
+	path    string // of the settings file
+	log     *zap.Logger
+	metrics *metric.Registry
+	store   *platform.Store
+	source  *source
+	gate    *backend.Gate
+	caller  *caller.Caller
+	peer    *peer.Peer
+
+	config   atomic.Pointer[platform.Config]
+	stopping atomic.Bool
+	idle     idleListener
+	recheck  chan struct{} // the backend server may be another instance
+
+	mu       sync.Mutex // guards instance
+	instance instance
+
+	listeners map[string]net.Listener
+	packet    net.PacketConn
+}
+
+// New reads the settings file at path, opens the listeners and builds the node.
+// A metrics address of "" serves no metrics.
+func New(path, metrics string, log *zap.Logger) (*Node, error) {
+	set, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, fault.Newf(fault.Settings, "%s: %w", path, err)
+	}
+	n := &Node{
+		path: path, log: log.With(zap.String("node", string(set.ID))), metrics: metric.New(),
+		recheck: make(chan struct{}, 1),
+	}
+	n.set.Store(&set)
+	limitProcess(&set)
+	if err := n.listen(metrics); err != nil {
+		return nil, err
+	}
+	n.store = platform.NewStore(set.Store, callTimeout)
+	n.source = newSource(n.store, set.Rollout, n.apply, n.log)
+	n.gate = n.newGate()
+	if n.peer, err = n.newPeer(); err != nil {
+		n.close()
+		return nil, err
+	}
+	n.caller = n.newCaller()
+	return n, nil
+}
+
+func (n *Node) snapshot() *config.Snapshot {
+	if c := n.config.Load(); c != nil {
+		return c.Snapshot
+	}
+	return nil
+}
+
+// apply puts c into force.
+func (n *Node) apply(c *platform.Config) {
+	n.config.Store(c)
+	n.idle.limit.Store(int64(c.Limits.Idle))
+	n.caller.Apply(c.Snapshot)
+	n.peer.SetVersion(c.Snapshot.Version)
+	n.shareBudget(n.peer.Members())
+}
+
+func (n *Node) newGate() *backend.Gate {
+	set := n.set.Load()
+	return backend.New(backend.Config{
+		ID:       set.ID,
+		Snapshot: n.snapshot,
+		// The gate is built before the peer, so the peer is looked up late.
+		OnEndpoint: func(s mesh.Service, slots int, e member.EndpointState) { n.peer.SetEndpoint(s, slots, e) },
+		Dialect:    backend.Dialect{Request: platform.Request, Response: n.response},
+		Lease:      leaseHeartbeats * set.Heartbeat,
+		MaxBody:    -1, // the caller listener applies the limit
+		Admission:  admit.Config{Fixed: true, Ramp: -1},
+		Metrics:    n.metrics,
+		Log:        n.log,
+	})
+}
+
+// response translates a response of the backend server. One that shows another
+// instance at the address has the backend server looked at again.
+func (n *Node) response(r *http.Response) *fault.Error {
+	e := platform.Response(r)
+	if r.StatusCode == http.StatusMisdirectedRequest {
+		select {
+		case n.recheck <- struct{}{}:
+		default:
+		}
+	}
+	return e
+}
+
+func (n *Node) newPeer() (*peer.Peer, error) {
+	set := n.set.Load()
+	p, err := peer.New(peer.Config{
+		Self:      member.Member{ID: set.ID, Zone: set.Zone, Addr: mesh.Addr(set.Peer)},
+		Key:       meshKey(set),
+		Listener:  n.listeners["peer"],
+		Packet:    n.packet,
+		Gate:      n.gate.Hop(),
+		Platform:  peer.Source{Nodes: n.store.Nodes},
+		External:  true,
+		OnVersion: n.source.hear,
+		JoinLimit: joinLimit,
+		OnMembers: func(ms []member.Member) {
+			n.caller.SetMembers(ms)
+			n.shareBudget(ms)
+		},
+		Metrics: n.metrics,
+		Log:     n.log,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("build peer: %w", err)
+	}
+	return p, nil
+}
+
+// meshKey derives the shared key of peer traffic from what all nodes of one
+// deployment know. The platform sets no secret: the key keeps the traffic of
+// other deployments and versions apart, and is no protection inside the network.
+func meshKey(s *settings.Hosted) []byte {
+	k := sha256.Sum256([]byte("lavenderrill mesh at store " + string(s.Store)))
+	return k[:]
+}
+
+func (n *Node) newCaller() *caller.Caller {
+	set := n.set.Load()
+	pool := hop.Config{DialTimeout: hopDialTimeout, IdleTimeout: hopIdle}
+	return caller.New(caller.Config{
+		ID:        set.ID,
+		Zone:      set.Zone,
+		Service:   set.Service,
+		Snapshot:  n.snapshot,
+		HopToken:  peer.HopToken(meshKey(set)),
+		Keep:      platform.ResponseHeaders,
+		Refuse:    platform.Refuse,
+		Entry:     platform.Entry,
+		Pools:     hop.NewPools(pool, pool),
+		ConnState: n.idle.state,
+		Metrics:   n.metrics,
+		Log:       n.log,
+	})
+}
+
+// Ready reports whether callers are to be sent to this node.
+func (n *Node) Ready() bool { return n.config.Load() != nil && !n.stopping.Load() }
+
+// beat takes in a heartbeat of the backend server.
+func (n *Node) beat(b platform.Heartbeat) error {
+	set := n.set.Load()
+	if b.Service != set.Service {
+		n.log.Warn("heartbeat of another service is refused", zap.String("service", string(b.Service)))
+		return fmt.Errorf("this VM runs service %q, not %q", set.Service, b.Service)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	was := n.instance
+	v := n.instance.beat(b)
+	if v == stale {
+		n.log.Info("late heartbeat is ignored", zap.String("instance", string(b.Instance)),
+			zap.Int64("sequence", b.Sequence), zap.Int64("born", b.Born), zap.Int64("known", was.sequence))
+		return nil
+	}
+	if v == started && was.id != "" {
+		n.gate.Withdraw()
+	}
+	return n.announce(b.Instance, b.Slots, b.Draining)
+}
+
+// announce passes the state of the backend server to the gate.
+func (n *Node) announce(id mesh.Instance, slots int, draining bool) error {
+	set := n.set.Load()
+	state := member.Ready
+	if draining {
+		state = member.Draining
+	}
+	connections := 0
+	if s := n.snapshot(); s != nil {
+		connections = s.Services[set.Service].Connections
+	}
+	return n.gate.Announce(backend.Announcement{
+		Service: set.Service, Addr: set.Backend, Instance: id,
+		Slots: slots, Connections: max(connections, 2*slots), State: state.String(),
+	})
+}
+
+// gone takes in that an instance of the backend server has left.
+func (n *Node) gone(id mesh.Instance, born int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.instance.leave(id, born) {
+		n.gate.Withdraw()
+		n.log.Info("backend server left", zap.String("instance", string(id)))
+	}
+}
+
+const (
+	// guessedSlots are assumed for a backend server that was found by its health
+	// check, until its first heartbeat tells the number.
+	guessedSlots = 8
+	healthPath   = "/healthz" // before a configuration names the path
+	healthWait   = 100 * time.Millisecond
+	healthTime   = time.Second
+)
+
+// findBackend looks for a backend server that was running before this node, so
+// that it gets work before its next heartbeat, and again whenever its address
+// seems to have another instance.
+func (n *Node) findBackend(ctx context.Context) error {
+	if wait.For(ctx, healthWait) != nil {
+		return nil
+	}
+	for {
+		n.mu.Lock()
+		known := n.instance.id != "" && len(n.recheck) == 0
+		n.mu.Unlock()
+		if !known {
+			n.checkHealth(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.recheck:
+			n.mu.Lock()
+			n.gate.Withdraw()
+			n.instance.gone = true
+			n.mu.Unlock()
+			n.checkHealth(ctx)
+		}
+	}
+}
+
+func (n *Node) checkHealth(ctx context.Context) {
+	set := n.set.Load()
+	path := healthPath
+	if c := n.config.Load(); c != nil && c.Health[set.Service] != "" {
+		path = c.Health[set.Service]
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthTime)
+	defer cancel()
+	id, err := platform.CheckHealth(ctx, set.Backend, path)
+	if err != nil {
+		n.log.Info("no healthy backend server found; its heartbeat is awaited", zap.Error(err))
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.instance.found(id) {
+		return
+	}
+	n.log.Info("backend server found by its health check", zap.String("instance", string(id)))
+	if err := n.announce(id, guessedSlots, false); err != nil {
+		n.log.Error("backend server cannot be announced", zap.Error(err))
+	}
+}
+
+// register writes the row by which other nodes find this one, until it is
+// written.
+func (n *Node) register(ctx context.Context) error {
+	set := n.set.Load()
+	for i := 0; ctx.Err() == nil; i++ {
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		err := n.store.PutNode(c, mesh.Addr(set.Peer), set.ID, set.Zone)
+		cancel()
+		if err == nil {
+			n.log.Info("node registered", zap.String("peer", set.Peer))
+			return nil
+		}
+		if i == 0 {
+			n.log.Warn("node cannot be registered yet", zap.Error(err))
+		}
+		if wait.For(ctx, backoff(i)) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// shareBudget divides the budget of repeated requests, which all nodes share.
+func (n *Node) shareBudget(ms []member.Member) {
+	s := n.snapshot()
+	if s == nil {
+		return
+	}
+	alive := 0
+	for i := range ms {
+		if ms[i].Status == member.Alive {
+			alive++
+		}
+	}
+	n.caller.SetRetryBudget(retryShare(n.set.Load().Retry, alive, len(s.Ranks)))
+}
+
+// part is one long-running part of a node.
+type part struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Run serves until ctx is done, then stops gracefully. It returns the first
+// error of a part.
+func (n *Node) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	type end struct {
+		name string
+		err  error
+	}
+	parts := n.parts()
+	ends := make(chan end)
+	for _, p := range parts {
+		go func() { ends <- end{p.name, p.run(inner)} }()
+	}
+	set := n.set.Load()
+	n.log.Info("node started", zap.String("zone", string(set.Zone)), zap.String("service", string(set.Service)),
+		zap.String("caller", set.Caller), zap.String("peer", set.Peer), zap.String("store", string(set.Store)))
+	var errs []error
+	running := len(parts)
+	for stop := false; !stop; {
+		select {
+		case <-ctx.Done():
+			errs = append(errs, n.stop())
+			stop = true
+		case e := <-ends:
+			running--
+			if e.err != nil {
+				errs = append(errs, fmt.Errorf("%s ended: %w", e.name, e.err))
+				stop = true
+			}
+		}
+	}
+	cancel()
+	for ; running > 0; running-- {
+		if e := <-ends; e.err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", e.name, e.err))
+		}
+	}
+	err := errors.Join(errs...)
+	n.log.Info("node stopped", zap.Error(err))
+	return err
+}
+
+func (n *Node) parts() []part {
+	ps := []part{
+		{"peer", n.peer.Run},
+		{"gate", n.gate.Run},
+		{"caller", n.caller.Run},
+		{"caller listener", func(context.Context) error { return served(n.caller.Server().Serve(&n.idle)) }},
+		{"configuration", n.source.run},
+		{"registration", n.register},
+		{"backend search", n.findBackend},
+		{"settings", n.watchSettings},
+	}
+	for name, h := range map[string]http.Handler{
+		"announce": platform.Heartbeats(n.beat, n.gone),
+		"ready":    platform.Readiness(n.Ready),
+		"metrics":  n.metrics.TextHandler(),
+	} {
+		l := n.listeners[name]
+		if l == nil {
+			continue
+		}
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
+		ps = append(ps, part{name + " listener", func(ctx context.Context) error { return serve(ctx, srv, l) }})
+	}
+	return ps
+}
+
+func serve(ctx context.Context, s *http.Server, l net.Listener) error {
+	done := make(chan error, 1)
+	go func() { done <- served(s.Serve(l)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	return errors.Join(s.Close(), <-done)
+}
+
+// served returns nil for the error of a server that was told to stop.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/hosted/source.go
@@ -0,0 +1,191 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/wait"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+	"lavenderrill.dev/lavenderrill/platform"
+)
+
+const (
+	// watchWait is the time after which the store ends a watch without a change.
+	watchWait = 25 * time.Second
+	// watchGrace is the wait for the end of a watch beyond watchWait.
+	watchGrace = 2 * time.Second
+	// callTimeout bounds a call of the store that does not wait. The store
+	// answers in milliseconds; a slow one has been seen to take 0.3 s.
+	callTimeout = time.Second
+	// hintDelay is the time in which the watch may bring a version that another
+	// node already holds, before the store is read for it.
+	hintDelay = 250 * time.Millisecond
+	// firstBackoff and lastBackoff bound the wait after a failed call.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = time.Second
+	// watchShare is the share of the rollout bound that passes at least between
+	// two watches, so that a series of changes costs few calls.
+	watchShare = 0.35
+)
+
+// source keeps the node's configuration equal to the one in the store.
+type source struct {
+	read    func(context.Context) (*platform.Config, platform.Position, error)
+	watch   func(ctx context.Context, after platform.Position, d time.Duration) (*platform.Config, platform.Position, error)
+	apply   func(*platform.Config) // called with rising versions
+	rollout time.Duration          // within which a version must be in force
+	log     *zap.Logger
+
+	version atomic.Uint64
+	hint    chan struct{} // another node holds a higher version
+	lost    bool          // the last call failed
+}
+
+func newSource(s *platform.Store, rollout time.Duration, apply func(*platform.Config), log *zap.Logger) *source {
+	return &source{
+		read: s.ReadConfig, watch: s.WatchConfig, apply: apply,
+		rollout: rollout, log: log, hint: make(chan struct{}, 1),
+	}
+}
+
+// hear takes in that another node holds version v.
+func (s *source) hear(v mesh.Version) {
+	if uint64(v) <= s.version.Load() {
+		return
+	}
+	select {
+	case s.hint <- struct{}{}:
+	default: // a read is due already
+	}
+}
+
+// run reads the configuration and watches for changes until ctx ends.
+func (s *source) run(ctx context.Context) error {
+	for failures := 0; ctx.Err() == nil; {
+		pos, err := s.readOnce(ctx)
+		if err == nil {
+			failures = 0
+			err = s.follow(ctx, pos)
+		}
+		s.failed(ctx, err)
+		if wait.For(ctx, backoff(failures)) != nil {
+			return nil
+		}
+		failures++
+	}
+	return nil
+}
+
+// backoff returns the jittered wait after n failures in a row.
+func backoff(n int) time.Duration {
+	d := min(firstBackoff<<min(n, 8), lastBackoff)
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+func (s *source) readOnce(ctx context.Context) (platform.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c, pos, err := s.read(ctx)
+	if err == nil || pos > 0 {
+		s.reached()
+		s.take(c, err)
+		return pos, nil
+	}
+	return 0, err
+}
+
+// follow watches from pos until a call fails or another node shows a version
+// that the watch did not bring: its connection may have fallen silent.
+func (s *source) follow(ctx context.Context, pos platform.Position) error {
+	gap := time.Duration(watchShare * float64(s.rollout))
+	for {
+		start := time.Now()
+		c, next, err := s.watchOnce(ctx, pos)
+		switch {
+		case errors.Is(err, errHint):
+			s.log.Info("another node holds a newer configuration; the store is read again", zap.Uint64("version", s.version.Load()))
+			return nil
+		case err != nil && next == 0:
+			return err
+		}
+		s.reached()
+		s.take(c, err)
+		pos = next
+		if wait.For(ctx, gap-time.Since(start)) != nil {
+			return nil
+		}
+	}
+}
+
+// errHint ends a watch because another node holds a newer version.
+var errHint = errors.New("another node holds a newer version")
+
+func (s *source) watchOnce(ctx context.Context, pos platform.Position) (*platform.Config, platform.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	defer cancel()
+	type answer struct {
+		c   *platform.Config
+		pos platform.Position
+		err error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		c, next, err := s.watch(ctx, pos, watchWait)
+		done <- answer{c, next, err}
+	}()
+	var late <-chan time.Time
+	for {
+		select {
+		case a := <-done:
+			return a.c, a.pos, a.err
+		case <-s.hint:
+			if late == nil {
+				late = time.After(hintDelay)
+			}
+		case <-late:
+			cancel()
+			<-done
+			return nil, 0, errHint
+		}
+	}
+}
+
+// take applies c if it is newer than what is held. An error says why the row in
+// the store cannot be used; what is held stays in force.
+func (s *source) take(c *platform.Config, err error) {
+	switch {
+	case err != nil:
+		s.log.Error("configuration in the store is refused; the one held stays in force",
+			zap.Uint64("held", s.version.Load()), zap.Error(err))
+	case c == nil:
+	case uint64(c.Snapshot.Version) > s.version.Load():
+		s.log.Info("configuration applied", zap.Uint64("version", uint64(c.Snapshot.Version)),
+			zap.Uint64("before", s.version.Load()), zap.Int("routes", len(c.Snapshot.Routes)))
+		s.version.Store(uint64(c.Snapshot.Version))
+		s.apply(c)
+	case uint64(c.Snapshot.Version) < s.version.Load():
+		s.log.Warn("configuration in the store is older than the one held and is ignored",
+			zap.Uint64("version", uint64(c.Snapshot.Version)), zap.Uint64("held", s.version.Load()))
+	}
+}
+
+// failed and reached log a lost and a regained store.
+func (s *source) failed(ctx context.Context, err error) {
+	if err == nil || ctx.Err() != nil || s.lost {
+		return
+	}
+	s.lost = true
+	s.log.Warn("store lost; the configuration held stays in force", zap.Uint64("held", s.version.Load()), zap.Error(err))
+}
+
+func (s *source) reached() {
+	if s.lost {
+		s.log.Info("store regained", zap.Uint64("held", s.version.Load()))
+	}
+	s.lost = false
+}
--- /dev/null
+++ b/internal/hosted/stop.go
@@ -0,0 +1,55 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/internal/wait"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	// moveTime is the time in which callers notice that the node is not ready
+	// and move to other nodes: two checks, one second apart, and some slack.
+	moveTime = 2500 * time.Millisecond
+	// stopSlack is the part of the grace time that is left for leaving the mesh
+	// and for the end of the process.
+	stopSlack = 300 * time.Millisecond
+	// leaveTime bounds the farewell to the other nodes and the store.
+	leaveTime = 200 * time.Millisecond
+)
+
+// stop ends the node without cutting a request: callers go on being served while
+// they move to other nodes, the gate takes nothing new, and requests in flight
+// end within the grace time.
+func (n *Node) stop() error {
+	n.stopping.Store(true)
+	set := n.set.Load()
+	n.log.Info("node stops", zap.Duration("grace", set.Grace))
+	ctx, cancel := context.WithTimeout(context.Background(), set.Grace-stopSlack)
+	defer cancel()
+	n.caller.CloseKept()
+	drained := make(chan error, 1)
+	go func() { drained <- n.gate.Drain(ctx) }()
+	errs := []error{wait.For(ctx, min(moveTime, set.Grace/2)), n.caller.Drain(ctx), <-drained}
+	if err := errors.Join(errs...); err != nil {
+		n.metrics.InvariantBroken("stop_interrupted")
+		n.log.Error("requests in flight outlast the grace time and are interrupted", zap.Error(err))
+	}
+	n.leave()
+	return nil
+}
+
+// leave tells the other nodes and the store that this node is gone.
+func (n *Node) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- n.store.RemoveNode(ctx, mesh.Addr(n.set.Load().Peer)) }()
+	if err := errors.Join(n.peer.Leave(ctx), <-done); err != nil {
+		n.log.Info("not all learn that this node leaves; they find out by themselves", zap.Error(err))
+	}
+}
--- a/internal/metric/registry.go
+++ b/internal/metric/registry.go
@@ -1,10 +1,14 @@
 package metric
 
 import (
+	"encoding/json"
 	"expvar"
 	"fmt"
+	"io"
+	"maps"
 	"net/http"
 	"runtime"
+	"slices"
 	"sync"
 )
 
@@ -60,6 +64,45 @@
 	})
 }
 
+// TextHandler serves the registry as text, one value a line in the form
+// name value, or name{key="..."} value for the members of a group.
+func (r *Registry) TextHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		r.vars.Do(func(kv expvar.KeyValue) {
+			var v any
+			if json.Unmarshal([]byte(kv.Value.String()), &v) == nil {
+				writeText(w, kv.Key, "", v)
+			}
+		})
+	})
+}
+
+// writeText writes v and what it contains.
+func writeText(w io.Writer, name, labels string, v any) {
+	switch v := v.(type) {
+	case float64:
+		if labels != "" {
+			labels = "{" + labels + "}"
+		}
+		_, _ = fmt.Fprintf(w, "%s%s %v\n", name, labels, v)
+	case bool:
+		n := 0.0
+		if v {
+			n = 1
+		}
+		writeText(w, name, labels, n)
+	case map[string]any:
+		for _, k := range slices.Sorted(maps.Keys(v)) {
+			label := fmt.Sprintf("key=%q", k)
+			if labels != "" {
+				label = labels + "," + fmt.Sprintf("value=%q", k)
+			}
+			writeText(w, name, label, v[k])
+		}
+	}
+}
+
 func lookup[V expvar.Var](r *Registry, name string, create func() V) V {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -54,6 +55,16 @@
 	// OnSnapshot is called with every new snapshot, in order of version, before
 	// this node shows that it holds the version. It must not call Publish.
 	OnSnapshot func(*config.Snapshot)
+	// External means that the configuration comes from elsewhere: it is neither
+	// read from Platform nor exchanged with other nodes. The owner shows the
+	// version that this node holds with SetVersion.
+	External bool
+	// OnVersion is called with the version of another node that is above that
+	// of this node, if External is set.
+	OnVersion func(mesh.Version)
+	// JoinLimit bounds the wait between two attempts to join; 15 s if 0.
+	JoinLimit time.Duration
+
 	// OnMembers is called with all remembered members after a change, at most
 	// every 20 ms. The slice belongs to the callee.
 	OnMembers func([]member.Member)
@@ -82,6 +93,12 @@
 	if c.OnSnapshot == nil {
 		c.OnSnapshot = func(*config.Snapshot) {}
 	}
+	if c.OnVersion == nil {
+		c.OnVersion = func(mesh.Version) {}
+	}
+	if c.JoinLimit <= 0 {
+		c.JoinLimit = joinLimit
+	}
 	if c.OnMembers == nil {
 		c.OnMembers = func([]member.Member) {}
 	}
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -47,7 +47,7 @@
 		if joined {
 			break
 		}
-		if wait.For(ctx, backoff(n, joinBase, joinLimit)) != nil {
+		if wait.For(ctx, backoff(n, joinBase, p.cfg.JoinLimit)) != nil {
 			return nil
 		}
 	}
@@ -135,7 +135,7 @@
 // untilSync returns the time to the next exchange, about wait. A node that is
 // not ready asks often, since it waits for the answer of a ready peer.
 func (p *Peer) untilSync(wait time.Duration) time.Duration {
-	if p.Ready() {
+	if p.cfg.External || p.Ready() {
 		return jitter(wait)
 	}
 	return jitter(readPeriod)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -45,6 +45,7 @@
 	vmu      sync.Mutex // guards state
 	state    *version.State
 	snapshot atomic.Pointer[config.Snapshot]
+	external atomic.Uint64 // version set by SetVersion
 
 	due       atomic.Pointer[time.Time] // when the member list is due, nil before the first tick
 	rmu       sync.Mutex                // guards readiness
@@ -135,10 +136,14 @@
 		{"tick", p.tick},
 		{"notify", p.notify},
 		{"join", p.join},
-		{"read head", p.readHead},
-		{"catch up", p.catchUp},
-		{"spread", p.spread},
-		{"sweep ledger", p.sweepLedger},
+	}
+	if !p.cfg.External {
+		tasks = append(tasks, []task{
+			{"read head", p.readHead},
+			{"catch up", p.catchUp},
+			{"spread", p.spread},
+			{"sweep ledger", p.sweepLedger},
+		}...)
 	}
 	type end struct {
 		name string
@@ -171,6 +176,25 @@
 	return 0
 }
 
+// SetVersion shows other nodes that this node holds version v of a
+// configuration that comes from elsewhere. See Config.External.
+func (p *Peer) SetVersion(v mesh.Version) {
+	p.external.Store(uint64(v))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list.SetVersion(v)
+}
+
+// Joined reports whether another node is known.
+func (p *Peer) Joined() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list.Size() > 1
+}
+
+// Attempted is closed after the first attempt to join.
+func (p *Peer) Attempted() <-chan struct{} { return p.attempted }
+
 // Members returns all remembered members, this node included, sorted by id.
 // The slice belongs to the caller.
 func (p *Peer) Members() []member.Member { return slices.Clone(p.members()) }
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -28,6 +28,13 @@
 	Hedge    time.Duration // delay before a hedged attempt; 0 disables hedging
 }
 
+// Share is the part of the requests of a route that one service gets, relative
+// to the weights of the other shares.
+type Share struct {
+	Service mesh.Service
+	Weight  int // at least 0; the weights of a route add up to more than 0
+}
+
 // Route is one compiled route of a client account.
 type Route struct {
 	Name       string
@@ -36,6 +43,7 @@
 	Path       string   // prefix that ends on a path segment border
 	Methods    []string // upper case, sorted; empty allows all
 	Service    mesh.Service
+	Split      []Share // divides the requests by weight in place of Service; empty for one service
 	Rank       mesh.Rank
 	Idempotent bool
 	Deadline   time.Duration
@@ -53,6 +61,10 @@
 	Services map[mesh.Service]ServicePolicy
 	Accounts []mesh.ClientAccount // sorted
 	Routes   []Route              // sorted by host, path and name
+
+	// Literal means that the path of a route is a prefix of the path as it was
+	// sent, byte by byte. Such paths begin and end with a slash.
+	Literal bool
 }
 
 // RankIndex returns the position of rank r, where 0 is the most urgent, and
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -26,6 +26,8 @@
 	ServiceHeader = "Lavenderrill-Service"
 	// RouteHeader carries the name of the route.
 	RouteHeader = "Lavenderrill-Route"
+	// CallerHeader carries the service of the VM on which a request began.
+	CallerHeader = "Lavenderrill-Caller"
 	// HopHeader carries the authentication token of a request forwarded from
 	// one node to another.
 	HopHeader = "Lavenderrill-Hop"
--- a/pkg/mesh/ids.go
+++ b/pkg/mesh/ids.go
@@ -15,6 +15,9 @@
 // ClientAccount names a client account of the operations team.
 type ClientAccount string
 
+// Instance identifies one start of a backend server.
+type Instance string
+
 // Service names a group of interchangeable backend servers.
 type Service string
 
