Merge groups of nodes that joined apart, and keep a stopping node useful

Cause: nodes that start at the same moment read the node rows before all are written.

Two nodes of each availability zone now read the rows every 3 s, the first time about 1 s after they joined. TestGroupsThatJoinedApartMerge fails without it.

Also: at a planned stop the gate goes on taking requests for 1.2 s, new callers are refused with a time to come back in place of a closed port, and downloads stay in their availability zone while it has an endpoint. Decisions are logged by a writer that never blocks, sampled by message.

--- a/cmd/lavenderrill/hosted.go
+++ b/cmd/lavenderrill/hosted.go
@@ -5,9 +5,11 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap/zapcore"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/hosted"
+	"lavenderrill.dev/lavenderrill/internal/logging"
 	"lavenderrill.dev/lavenderrill/platform"
 )
 
@@ -22,10 +24,17 @@
 	c.Flag("metrics", "Listen address of the metrics; none if empty.").
 		Envar("LAVENDERRILL_METRICS").StringVar(&metrics)
 	return command{c, func(ctx context.Context) error {
-		log, err := newLogger("json", level)
+		l, err := zapcore.ParseLevel(level)
 		if err != nil {
 			return fault.Newf(fault.Settings, "log: %w", err)
 		}
+		w := logging.NewWriter(os.Stdout)
+		log := logging.New(w, l)
+		stop, written := background(w.Run)
+		defer func() {
+			stop()
+			<-written // an error means that nobody reads the log
+		}()
 		path := os.Getenv(platform.SettingsEnv)
 		if path == "" {
 			return fault.New(fault.Settings, platform.SettingsEnv+" is not set")
@@ -37,3 +46,12 @@
 		return n.Run(ctx)
 	}}
 }
+
+// background runs f until the returned function is called; its end can be read
+// from the channel.
+func background(f func(context.Context) error) (context.CancelFunc, <-chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f(ctx) }()
+	return cancel, ended
+}
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -421,11 +421,30 @@
 	if e.Run == fault.NotRun && c.mayHaveRun {
 		g.figures.registry.InvariantBroken("gate_false_not_run")
 	}
+	g.logRefusal(c, e)
 	w.Header().Set(mesh.RequestHeader, string(c.id))
 	g.setPressure(w)
 	fault.Write(w, e, c.id)
 }
 
+// logRefusal writes the line that explains refusal e of c. The kind is part of
+// the message, by which lines are sampled.
+func (g *Gate) logRefusal(c *call, e *fault.Error) {
+	ce := g.log.Check(zap.InfoLevel, "request refused at the gate: "+string(e.Kind))
+	if ce == nil {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	inFlight, queued, limit := g.machine.InFlight(), g.machine.Queued(), g.machine.Limit(now)
+	state, instance := g.endpointState(), g.endpoint.instance
+	g.mu.Unlock()
+	ce.Write(zap.String("request", string(c.id)), zap.String("attempt", c.attempt), zap.String("run", string(e.Run)),
+		zap.String("reason", e.Reason), zap.String("rank", string(c.Rank)), zap.String("service", string(c.service)),
+		zap.Duration("left", c.Deadline.Sub(now)), zap.Int("in_flight", inFlight), zap.Int("queued", queued),
+		zap.Int("limit", limit), zap.Stringer("endpoint", state), zap.String("instance", string(instance)))
+}
+
 func (g *Gate) setPressure(w http.ResponseWriter) {
 	var buf [8]admit.RankPressure
 	g.mu.Lock()
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -125,6 +125,7 @@
 	tableMu sync.Mutex // held while a table is built
 
 	draining atomic.Bool
+	closing  atomic.Int64 // time.Duration after which to come back, once Finish was called
 	active   atomic.Int64 // requests in flight
 	conns    atomic.Int64 // open connections of callers
 }
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/retry"
 )
@@ -92,6 +94,11 @@
 	s.Replayable = a.replayable
 	v := retry.Decide(s, b, now)
 	c.counts.retries.Add(string(v.Reason), 1)
+	if ce := c.cfg.Log.Check(zap.InfoLevel, "attempt failed: "+string(a.fault.Kind)); ce != nil {
+		ce.Write(zap.String("request", string(q.id)), zap.String("endpoint", string(a.endpoint.ID)),
+			zap.Int("attempt", a.number), zap.String("run", string(a.fault.Run)), zap.String("reason", a.fault.Reason),
+			zap.Duration("took", now.Sub(a.started)), zap.String("verdict", string(v.Reason)))
+	}
 	return v.Action == retry.Retry
 }
 
@@ -110,7 +117,11 @@
 // pick starts the next attempt of q, or returns nil if no endpoint is left.
 func (c *Caller) pick(q *call) *attempt {
 	now := time.Now()
-	e := c.picker.Pick(q.service, q.rank(), q.tried, now)
+	pick := c.picker.Pick
+	if q.route.Policy.Bulk {
+		pick = c.picker.PickNear
+	}
+	e := pick(q.service, q.rank(), q.tried, now)
 	if e == nil {
 		return nil
 	}
--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -35,6 +35,11 @@
 		q.w.Header()["Connection"] = closeValue
 		return ctx, fault.Newf(fault.HeaderTooLarge, "header has %d bytes, want at most %d", n, c.cfg.MaxHeader)
 	}
+	if d := c.closing.Load(); d > 0 {
+		e := fault.New(fault.Draining, "node stops")
+		e.After = time.Duration(d)
+		return ctx, e
+	}
 	if !c.cfg.Ready() {
 		return ctx, fault.New(fault.NotReady, "node is not ready")
 	}
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -27,12 +27,34 @@
 	if e.Kind == fault.Canceled {
 		panic(http.ErrAbortHandler) // nobody is left to read the answer
 	}
-	c.cfg.Log.Debug("request refused", zap.String("request", string(q.id)),
-		zap.String("kind", string(e.Kind)), zap.String("reason", e.Reason))
+	c.logRefusal(q, e)
 	abandonBody(q)
 	c.cfg.Refuse(q.w, e, q.id)
 }
 
+// logRefusal writes the line that explains refusal e of q. The kind is part of
+// the message, by which lines are sampled.
+func (c *Caller) logRefusal(q *call, e *fault.Error) {
+	ce := c.cfg.Log.Check(zap.InfoLevel, "request refused: "+string(e.Kind))
+	if ce == nil {
+		return
+	}
+	now := time.Now()
+	fs := []zap.Field{
+		zap.String("request", string(q.id)), zap.String("run", string(e.Run)), zap.String("reason", e.Reason),
+		zap.Duration("after", now.Sub(q.arrived)), zap.Int("attempts", q.attempts), zap.Duration("again", e.After),
+	}
+	if q.route != nil {
+		fs = append(fs, zap.String("route", q.route.Name), zap.String("service", string(q.service)),
+			zap.String("rank", string(q.rank())), zap.Duration("left", q.deadline.Sub(now)),
+			zap.Uint64("version", uint64(q.table.Snapshot().Version)))
+	}
+	if n := len(q.tried); n > 0 {
+		fs = append(fs, zap.String("endpoint", string(q.tried[n-1].ID)))
+	}
+	ce.Write(fs...)
+}
+
 // abandonBody limits the time for the rest of the body of a refused request.
 // net/http reads it before it closes the connection, without time-out, although
 // a caller that waits for 100 Continue never sends it.
@@ -76,6 +98,8 @@
 	c.counts.rank(q.rank()).done(q, err == nil && resp.StatusCode < http.StatusInternalServerError)
 	if err != nil {
 		c.counts.aborted.Add(1)
+		c.cfg.Log.Info("response broke off", zap.String("request", string(q.id)),
+			zap.String("endpoint", string(a.endpoint.ID)), zap.Bool("caller_left", q.canceled()), zap.Error(err))
 		panic(http.ErrAbortHandler)
 	}
 	hop.CopyTrailer(q.w, resp)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -89,6 +89,26 @@
 
 var closeValue = []string{"close"}
 
+// Finish stops serving without interrupting a request: new requests are refused
+// as draining, with the time after which to come back, until no request is in
+// flight or ctx ends. Then the server is closed.
+func (c *Caller) Finish(ctx context.Context, again time.Duration) error {
+	c.draining.Store(true)
+	c.closing.Store(int64(again))
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for c.active.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-poll.C:
+		}
+	}
+	err := ctx.Err()
+	c.cfg.Pools.CloseIdle()
+	c.cfg.Log.Info(drainLogName, zap.Int64("interrupted", c.active.Load()))
+	return errors.Join(err, c.server.Close())
+}
+
 // Drain stops the server without interrupting a request: from now on kept
 // connections are told to close with their next response, and idle ones are
 // closed after a short time. Drain returns when no request is in flight or ctx
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -151,6 +151,16 @@
 // never returns an endpoint of tried. Every endpoint returned must be given
 // back by one call of Done.
 func (p *Picker) Pick(s mesh.Service, rank mesh.Rank, tried []*Endpoint, now time.Time) *Endpoint {
+	return p.pick(s, rank, tried, false, now)
+}
+
+// PickNear is Pick for a request whose body is large: an endpoint of another
+// availability zone is returned only if none of the own zone is left.
+func (p *Picker) PickNear(s mesh.Service, rank mesh.Rank, tried []*Endpoint, now time.Time) *Endpoint {
+	return p.pick(s, rank, tried, true, now)
+}
+
+func (p *Picker) pick(s mesh.Service, rank mesh.Rank, tried []*Endpoint, near bool, now time.Time) *Endpoint {
 	svc := p.service(s)
 	if svc == nil {
 		return nil
@@ -161,7 +171,7 @@
 		svc.sort(p.zone, now)
 	}
 	e := p.better(svc.local, rank, tried, now)
-	if e == nil || e.pressed(rank, now) {
+	if e == nil || !near && e.pressed(rank, now) {
 		r := p.better(svc.remote, rank, tried, now)
 		if e == nil || r != nil && r.score(rank, now)+spillMargin < e.score(rank, now) {
 			e = r
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -34,6 +34,10 @@
 	leaseHeartbeats = 4
 	// joinLimit bounds the wait between two attempts to join.
 	joinLimit = time.Second
+	// mergePeriod is the mean time between two reads of the node rows by each of
+	// two nodes of an availability zone: what was apart is together again soon
+	// after the store is back, at few calls a node.
+	mergePeriod = 3 * time.Second
 	// hopDialTimeout bounds a connection attempt to another node of the region.
 	hopDialTimeout = 300 * time.Millisecond
 	// hopIdle is the time for which an unused connection to a gate is kept.
@@ -149,6 +153,7 @@
 		Platform:  peer.Source{Nodes: n.store.Nodes},
 		External:  true,
 		OnVersion: n.source.hear,
+		Merge:     mergePeriod,
 		JoinLimit: joinLimit,
 		OnMembers: func(ms []member.Member) {
 			n.caller.SetMembers(ms)
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/wait"
+	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 	"lavenderrill.dev/lavenderrill/platform"
 )
@@ -165,7 +166,7 @@
 	case c == nil:
 	case uint64(c.Snapshot.Version) > s.version.Load():
 		s.log.Info("configuration applied", zap.Uint64("version", uint64(c.Snapshot.Version)),
-			zap.Uint64("before", s.version.Load()), zap.Int("routes", len(c.Snapshot.Routes)))
+			zap.Uint64("before", s.version.Load()), zap.Int("routes", len(c.Snapshot.Routes)), zap.Any("ranks", rankNames(c.Snapshot)))
 		s.version.Store(uint64(c.Snapshot.Version))
 		s.apply(c)
 	case uint64(c.Snapshot.Version) < s.version.Load():
@@ -174,6 +175,15 @@
 	}
 }
 
+// rankNames returns the ranks of s, most urgent first.
+func rankNames(s *config.Snapshot) []mesh.Rank {
+	out := make([]mesh.Rank, len(s.Ranks))
+	for i := range s.Ranks {
+		out[i] = s.Ranks[i].Name
+	}
+	return out
+}
+
 // failed and reached log a lost and a regained store.
 func (s *source) failed(ctx context.Context, err error) {
 	if err == nil || ctx.Err() != nil || s.lost {
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -15,6 +15,11 @@
 	// moveTime is the time in which callers notice that the node is not ready
 	// and move to other nodes: two checks, one second apart, and some slack.
 	moveTime = 2500 * time.Millisecond
+	// gateTime is the time for which the gate goes on taking requests.
+	gateTime = 1200 * time.Millisecond
+	// restartTime is the time after which a refused caller may find the node
+	// again: the end of what is in flight and a start of the process.
+	restartTime = time.Second
 	// stopSlack is the part of the grace time that is left for leaving the mesh
 	// and for the end of the process.
 	stopSlack = 300 * time.Millisecond
@@ -32,9 +37,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), set.Grace-stopSlack)
 	defer cancel()
 	n.caller.CloseKept()
-	drained := make(chan error, 1)
-	go func() { drained <- n.gate.Drain(ctx) }()
-	errs := []error{wait.For(ctx, min(moveTime, set.Grace/2)), n.caller.Drain(ctx), <-drained}
+	moved := make(chan error, 1)
+	go func() {
+		// The backend server may go on running, so its capacity is used until
+		// the requests in flight need the rest of the time.
+		if err := wait.For(ctx, min(gateTime, set.Grace/4)); err != nil {
+			moved <- err
+			return
+		}
+		moved <- n.gate.Drain(ctx)
+	}()
+	errs := []error{wait.For(ctx, min(moveTime, set.Grace/2)), n.caller.Finish(ctx, restartTime), <-moved}
 	if err := errors.Join(errs...); err != nil {
 		n.metrics.InvariantBroken("stop_interrupted")
 		n.log.Error("requests in flight outlast the grace time and are interrupted", zap.Error(err))
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -62,6 +62,10 @@
 	// OnVersion is called with the version of another node that is above that
 	// of this node, if External is set.
 	OnVersion func(mesh.Version)
+	// Merge is the mean time between two reads of the node rows by one of the
+	// readers of an availability zone, which finds nodes that joined apart from
+	// this one. Without it rows are read only by a node that lost others.
+	Merge time.Duration
 	// JoinLimit bounds the wait between two attempts to join; 15 s if 0.
 	JoinLimit time.Duration
 
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/version"
 	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
 	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -23,6 +24,8 @@
 	// mergePeriod is the mean time between two attempts to reach addresses
 	// from the settings or the table that are not known as members.
 	mergePeriod = 30 * time.Second
+	// firstMerge is the mean time from joining to the first search if Merge is set.
+	firstMerge = time.Second
 	// joinAtOnce is the number of addresses tried in one attempt to join.
 	joinAtOnce  = 4
 	syncTimeout = 5 * time.Second
@@ -112,7 +115,7 @@
 func (p *Peer) keepSynced(ctx context.Context) error {
 	wait := member.SyncAfter(0)
 	routine := time.NewTimer(p.untilSync(wait))
-	merge := time.NewTimer(jitter(mergePeriod))
+	merge := time.NewTimer(p.untilMerge(true))
 	defer routine.Stop()
 	defer merge.Stop()
 	for {
@@ -127,11 +130,30 @@
 			routine.Reset(p.untilSync(wait))
 		case <-merge.C:
 			p.mergeOnce(ctx)
-			merge.Reset(jitter(mergePeriod))
+			merge.Reset(p.untilMerge(false))
 		}
 	}
 }
 
+// untilMerge returns the time to the next search for nodes outside the view.
+// Nodes that start at the same moment read the rows before all are written, so
+// the first search comes soon.
+func (p *Peer) untilMerge(first bool) time.Duration {
+	switch {
+	case p.cfg.Merge <= 0:
+		return jitter(mergePeriod)
+	case first:
+		return jitter(min(firstMerge, p.cfg.Merge))
+	}
+	return jitter(p.cfg.Merge)
+}
+
+// readsRows reports whether this node reads the node rows for its availability
+// zone.
+func (p *Peer) readsRows() bool {
+	return p.cfg.Merge > 0 && version.IsReader(p.cfg.Self.ID, p.cfg.Self.Zone, p.members())
+}
+
 // untilSync returns the time to the next exchange, about wait. A node that is
 // not ready asks often, since it waits for the answer of a ready peer.
 func (p *Peer) untilSync(wait time.Duration) time.Duration {
@@ -163,7 +185,7 @@
 			lost++
 		}
 	}
-	if alive > 1 && lost <= alive {
+	if alive > 1 && lost <= alive && !p.readsRows() {
 		return
 	}
 	nctx, cancel := context.WithTimeout(ctx, readTimeout)
--- /dev/null
+++ b/internal/peer/merge_test.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// rowTable holds the node rows of a test.
+type rowTable struct {
+	mu    sync.Mutex
+	addrs []mesh.Addr
+}
+
+func (r *rowTable) put(a mesh.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addrs = append(r.addrs, a)
+}
+
+func (r *rowTable) nodes(context.Context) ([]mesh.Addr, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]mesh.Addr(nil), r.addrs...), nil
+}
+
+// TestGroupsThatJoinedApartMerge guards against a mesh that stays split because
+// its nodes started at the same moment and read the node rows before all were
+// written: three of twelve nodes never learned of the others.
+func TestGroupsThatJoinedApartMerge(t *testing.T) {
+	// Each group sees only its own rows until the rows of all are put.
+	rows := []*rowTable{new(rowTable), new(rowTable)}
+	var ps []*testPeer
+	for i := range 6 {
+		hosted := func(c *Config, _ *lossy) {
+			c.External, c.Merge, c.JoinLimit = true, time.Second, 100*time.Millisecond
+			c.Platform = Source{Nodes: rows[i%2].nodes}
+		}
+		p := start(t, i, nil, hosted)
+		rows[i%2].put(p.cfg.Self.Addr)
+		ps = append(ps, p)
+	}
+	know := func(n int) func() bool {
+		return func() bool {
+			for _, p := range ps {
+				if alive(p) != n || !p.Joined() {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, 10*time.Second, know(3), "two groups that do not know each other")
+	time.Sleep(2 * joinBase) // until the last attempt to join has ended
+	for _, p := range ps {
+		rows[0].put(p.cfg.Self.Addr)
+		rows[1].put(p.cfg.Self.Addr)
+	}
+	apart := time.Now()
+	eventually(t, 10*time.Second, know(6), "all know each other")
+	require.Less(t, time.Since(apart), 5*time.Second)
+}
