Tell refused callers when to come back

A caller that can still be answered within the target is told to come back within half of it; one that cannot, as late as it may. How long a caller has waited over its attempts is learned from the longest time that callers of its rank have left.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -23,6 +23,7 @@
 	route    *route.Route
 	service  mesh.Service // the service of the route or one of its shares
 	deadline time.Time
+	until    time.Time          // end of the caller's own wait, zero if it did not say
 	ctx      context.Context    // ends at the deadline
 	cancel   context.CancelFunc // of the deadline
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -118,6 +118,7 @@
 
 	budgets   retry.Budgets
 	throttles retry.Throttle
+	patience  patience
 	limits    quota.Limiter
 	ask       chan struct{} // a limit is new
 
--- /dev/null
+++ b/internal/caller/comeback.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+const (
+	// comebackShare is the largest share of its remaining time after which a
+	// refused caller is told to come back: callers honour no more, and it leaves
+	// time for the request itself.
+	comebackShare = 1.0 / 3
+	// comebackSpread is the least part of the time to come back. Callers that
+	// were refused together come back spread over the rest, not all at once.
+	comebackSpread = 0.3
+	// targetShare is the share of the target within which a caller is back if
+	// its answer is to be in time.
+	targetShare = 0.5
+	// leastSlack is the least time up to then that is worth using.
+	leastSlack = 30 * time.Millisecond
+	// movedWait is the time after which a caller comes back that was refused
+	// because an endpoint or a node was about to change. Membership spreads in
+	// less.
+	movedWait = 200 * time.Millisecond
+)
+
+// refused is what is known of a refused request when its caller is told when to
+// come back.
+type refused struct {
+	kind   fault.Kind
+	left   time.Duration // that the caller still waits
+	waited time.Duration // that it has waited, over all its attempts
+	target time.Duration // latency within which an answer is of full worth
+}
+
+// comeback returns the time after which the caller may come back, 0 if it should
+// not. A caller that can still be answered in time is called back for that; one
+// that cannot comes back as late as it may, since bursts last longer than most
+// callers wait. Random is in [0,1).
+func comeback(r refused, random float64) time.Duration {
+	longest := time.Duration(comebackShare * float64(r.left))
+	switch r.kind {
+	case fault.Overloaded, fault.Throttled:
+		if slack := time.Duration(targetShare*float64(r.target)) - r.waited; slack >= leastSlack {
+			longest = min(longest, slack)
+		}
+		return time.Duration(float64(longest) * (comebackSpread + (1-comebackSpread)*random))
+	case fault.Draining, fault.NoEndpoint, fault.NotReady:
+		return min(movedWait, longest)
+	}
+	return 0
+}
+
+// setComeback sets when the caller of q may come back after refusal e, which may
+// be shared.
+func (c *Caller) setComeback(q *call, e *fault.Error) *fault.Error {
+	if e.Run != fault.NotRun || e.After > 0 || q.until.IsZero() {
+		return e
+	}
+	r := refused{kind: e.Kind, left: time.Until(q.until)}
+	if q.route != nil {
+		r.target = q.route.Policy.Target
+		r.waited = c.patience.longest(q.rank()) - r.left
+	}
+	d := comeback(r, rand.Float64())
+	if d <= 0 {
+		return e
+	}
+	n := *e
+	n.After = d
+	return &n
+}
+
+// patience learns how long the callers of each rank wait in all, from the
+// longest time that any of them had left: that of a first attempt. An attempt
+// with less has been refused before.
+type patience struct {
+	ranks sync.Map // mesh.Rank -> *waits
+}
+
+// waits holds the longest time of the present and the last period.
+type waits struct {
+	mu            sync.Mutex
+	begun         time.Time
+	present, last time.Duration
+}
+
+// patiencePeriod is the time after which a longest time is forgotten that did not
+// come again.
+const patiencePeriod = 10 * time.Second
+
+// note takes in that a caller has the given time left at now.
+func (p *patience) note(r mesh.Rank, left time.Duration, now time.Time) {
+	w := p.of(r)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.begun) > patiencePeriod {
+		w.begun, w.last, w.present = now, w.present, 0
+	}
+	w.present = max(w.present, left)
+}
+
+// longest returns the time that callers of r wait in all, 0 if it is not known.
+func (p *patience) longest(r mesh.Rank) time.Duration {
+	w := p.of(r)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(w.present, w.last)
+}
+
+func (p *patience) of(r mesh.Rank) *waits {
+	if v, ok := p.ranks.Load(r); ok {
+		return v.(*waits)
+	}
+	v, _ := p.ranks.LoadOrStore(r, new(waits))
+	return v.(*waits)
+}
--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -64,6 +64,7 @@
 	}
 	if deadline != "" {
 		q.deadline = q.arrived.Add(time.Duration(ms) * time.Millisecond)
+		q.until = q.deadline
 	}
 	return ctx, nil
 }
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -16,6 +16,7 @@
 
 // refuse answers q with e.
 func (c *Caller) refuse(q *call, e *fault.Error) {
+	e = c.setComeback(q, e)
 	c.counts.refused.Add(string(e.Kind), 1)
 	if e.Run == fault.NotRun && q.mayHaveRun {
 		c.cfg.Metrics.InvariantBroken("caller_false_not_run")
--- a/internal/caller/steps.go
+++ b/internal/caller/steps.go
@@ -34,6 +34,9 @@
 		return ctx, e
 	}
 	q.route, q.service = r, serviceOf(r, rand.IntN)
+	if !q.until.IsZero() {
+		c.patience.note(q.rank(), q.until.Sub(q.arrived), q.arrived)
+	}
 	limit := r.Deadline
 	if limit <= 0 {
 		limit = c.cfg.Deadline
