Ask another gate after a refusal that reached no backend server

A refusal by a gate costs neither an attempt of the route nor a part of the budget, both of which limit what reaches backend servers: up to two more gates are asked. A download that the gates of its zone refuse for load is not sent to another zone.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -33,6 +33,7 @@
 	latency  time.Duration // time to the response header, 0 if it says nothing about load
 
 	mayHaveRun bool // the backend server may have the request
+	refused    bool // the backend server said that it did not run the request
 
 	notRun func() // called before an answer that says not run; may be nil
 }
@@ -83,6 +84,11 @@
 	defer g.leave(c)
 	resp, e := g.forward(ctx, c, r)
 	if e != nil {
+		if c.mayHaveRun {
+			n := *e
+			n.Sent = true
+			e = &n
+		}
 		return e
 	}
 	defer func() { resp.Body.Close() }()
@@ -367,6 +373,7 @@
 func (g *Gate) checkAnswer(c *call, resp *http.Response) (*http.Response, *fault.Error) {
 	if f := g.conf.Dialect.Response; f != nil {
 		if e := f(resp); e != nil {
+			c.refused = e.Run == fault.NotRun
 			resp.Body.Close()
 			return nil, e
 		}
@@ -418,7 +425,7 @@
 // refuse answers c with e.
 func (g *Gate) refuse(w http.ResponseWriter, c *call, e *fault.Error) {
 	g.figures.refuse(e)
-	if e.Run == fault.NotRun && c.mayHaveRun {
+	if e.Run == fault.NotRun && c.mayHaveRun && !c.refused {
 		g.figures.registry.InvariantBroken("gate_false_not_run")
 	}
 	g.logRefusal(c, e)
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -30,6 +30,8 @@
 	body       body
 	bodied     bool // a request body exists
 	attempts   int
+	reached    int  // attempts that were sent to a backend server
+	crowded    bool // the last attempt was refused for load
 	tried      []*route.Endpoint
 	room       [3]*route.Endpoint // backs tried
 	mayHaveRun bool               // a failed attempt may have run
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -74,6 +74,10 @@
 // note records that the failed attempt a may have run.
 func (q *call) note(a *attempt) {
 	q.mayHaveRun = q.mayHaveRun || a.fault.Run != fault.NotRun
+	if a.fault.Sent || a.fault.Run != fault.NotRun {
+		q.reached++
+	}
+	q.crowded = a.fault.Kind == fault.Overloaded
 }
 
 // noEndpoint returns the outcome when no endpoint is left: that of the last
@@ -92,6 +96,7 @@
 	s := q.state(now)
 	s.Kind, s.Run = a.fault.Kind, a.fault.Run
 	s.Replayable = a.replayable
+	s.Sent = a.fault.Sent || a.fault.Run != fault.NotRun
 	v := retry.Decide(s, b, now)
 	c.counts.retries.Add(string(v.Reason), 1)
 	if ce := c.cfg.Log.Check(zap.InfoLevel, "attempt failed: "+string(a.fault.Kind)); ce != nil {
@@ -108,6 +113,7 @@
 		Idempotent: q.route.Idempotent,
 		Attempt:    q.attempts,
 		Attempts:   q.route.Retry.Attempts,
+		Reached:    q.reached,
 		Depth:      q.depth,
 		Remaining:  q.deadline.Sub(now),
 		Canceled:   q.canceled(),
@@ -118,7 +124,12 @@
 func (c *Caller) pick(q *call) *attempt {
 	now := time.Now()
 	pick := c.picker.Pick
-	if q.route.Policy.Bulk {
+	switch {
+	case q.route.Policy.Bulk && q.crowded:
+		// The body is not sent between availability zones for want of room: the
+		// caller is told to come back.
+		pick = c.picker.PickOwn
+	case q.route.Policy.Bulk:
 		pick = c.picker.PickNear
 	}
 	e := pick(q.service, q.rank(), q.tried, now)
--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -14,6 +14,8 @@
 const (
 	KindHeader = "Lavenderrill-Kind"
 	RunHeader  = "Lavenderrill-Run"
+	// SentHeader is set if the request was sent to a backend server.
+	SentHeader = "Lavenderrill-Sent"
 )
 
 // Error is an error with a kind and a run state.
@@ -22,6 +24,9 @@
 	Run    Run
 	Reason string
 	Err    error // cause, may be nil
+	// Sent means that the request was sent to a backend server, whether it ran or
+	// not.
+	Sent bool
 	// After is the time after which the caller may try again, 0 if not known.
 	After time.Duration
 }
@@ -88,6 +93,9 @@
 	h := w.Header()
 	h.Set(KindHeader, string(e.Kind))
 	h.Set(RunHeader, string(e.Run))
+	if e.Sent {
+		h.Set(SentHeader, "1")
+	}
 	h.Set("Content-Type", "application/json")
 	w.WriteHeader(AnswerOf(e.Kind).Status)
 	b, err := json.Marshal(Body{Kind: e.Kind, Reason: e.Reason, Run: e.Run, Request: id})
@@ -108,5 +116,6 @@
 	if Run(h.Get(RunHeader)) != NotRun {
 		e.Run = Unknown
 	}
+	e.Sent = h.Get(SentHeader) != ""
 	return e
 }
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -13,6 +13,10 @@
 type Limit struct {
 	Share float64
 	Slack float64
+	// Gates is the number of gates that may refuse one request, beyond the attempts
+	// of its route, before its caller is refused. With 0 a refusal by a gate counts
+	// as an attempt.
+	Gates int
 }
 
 const (
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -42,6 +42,7 @@
 // The reasons of a repetition.
 const (
 	RetryNotRun     Reason = "not_run"    // proved not run
+	RetryGate       Reason = "gate"       // a gate refused it, so no backend server had it
 	RetryFree       Reason = "free"       // cost the fleet nothing: no endpoint took it
 	RetryIdempotent Reason = "idempotent" // may have run, but may run twice
 	HedgeSlow       Reason = "hedge"      // no response header within the hedge delay
@@ -67,6 +68,8 @@
 	Run        fault.Run     // whether the request may have run
 	Attempt    int           // number of the failed attempt, from 1
 	Attempts   int           // attempts that the route allows
+	Sent       bool          // the failed attempt was sent to a backend server
+	Reached    int           // attempts that were sent to a backend server, this one included
 	Depth      int           // Lavenderrill-Depth on arrival; 0 from a client
 	Remaining  time.Duration // until the deadline
 	Replayable bool          // the body can be sent again
@@ -91,7 +94,11 @@
 		return Verdict{Answer, DenyMayRun}
 	case !retryable(s.Kind):
 		return Verdict{Answer, DenyKind}
-	case s.Attempt >= max(s.Attempts, freeAttempts(free)):
+	case s.gateRefusal() && s.Attempt-s.Reached <= b.bound().Gates:
+		return s.askGate()
+	case b.bound().Gates > 0 && s.Reached >= s.Attempts:
+		return Verdict{Answer, DenyAttempts}
+	case b.bound().Gates == 0 && s.Attempt >= max(s.Attempts, freeAttempts(free)):
 		return Verdict{Answer, DenyAttempts}
 	case s.Depth > 0 && !free:
 		return Verdict{Answer, DenyDepth}
@@ -118,6 +125,25 @@
 	return Verdict{Retry, RetryIdempotent}
 }
 
+// gateRefusal reports whether a gate refused the attempt before its backend server
+// had it, so that another gate may have room.
+func (s *State) gateRefusal() bool {
+	return s.Run == fault.NotRun && !s.Sent && (isFree(s.Kind) || s.Kind == fault.Overloaded)
+}
+
+// askGate is the verdict for a request that no backend server has had. It costs
+// neither an attempt of the route nor a part of the budget, both of which limit
+// what reaches backend servers.
+func (s *State) askGate() Verdict {
+	switch {
+	case !s.Replayable:
+		return Verdict{Answer, DenyBody}
+	case s.Remaining < leastRemaining:
+		return Verdict{Answer, DenyDeadline}
+	}
+	return Verdict{Retry, RetryGate}
+}
+
 // freeAttempts is the least number of attempts: a request whose first attempt
 // cost the fleet nothing is sent once more even if its route allows a single
 // attempt, so that a drain is not seen by callers.
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -160,6 +160,25 @@
 	return p.pick(s, rank, tried, true, now)
 }
 
+// PickOwn is Pick among the endpoints of the own availability zone. It returns an
+// endpoint of another one only if the zone has none at all.
+func (p *Picker) PickOwn(s mesh.Service, rank mesh.Rank, tried []*Endpoint, now time.Time) *Endpoint {
+	if slices.ContainsFunc(tried, func(e *Endpoint) bool { return e.Zone == p.zone }) {
+		svc := p.service(s)
+		if svc == nil {
+			return nil
+		}
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		e := p.better(svc.local, rank, tried, now)
+		if e != nil {
+			e.inflight++
+		}
+		return e
+	}
+	return p.PickNear(s, rank, tried, now)
+}
+
 func (p *Picker) pick(s mesh.Service, rank mesh.Rank, tried []*Endpoint, near bool, now time.Time) *Endpoint {
 	svc := p.service(s)
 	if svc == nil {
--- a/internal/hosted/reload.go
+++ b/internal/hosted/reload.go
@@ -97,6 +97,9 @@
 const (
 	// budgetWindow is the window of retry.Budget.
 	budgetWindow = 10 * time.Second
+	// gateTries is the number of gates that are asked once more for a request that
+	// a gate refused. Most refusals for load are local: another gate has room.
+	gateTries = 2
 	// budgetMargin is the share of the common budget that is used. The rest is
 	// for repeats that a node does not see: calls of a backend server that runs a
 	// repeated request count as repeats where they arrive.
@@ -108,6 +111,7 @@
 	scale := budgetMargin * min(float64(b.Window)/float64(budgetWindow), 1)
 	return retry.Limit{
 		Share: budgetMargin * b.Ratio,
+		Gates: gateTries,
 		Slack: scale * b.Slack / float64(max(n, 1)*max(ranks, 1)),
 	}
 }
