Let the last requests of a stopping node be answered

The listener is now shut down first, and what was read meanwhile gets its refusal.

Also: slots are reserved for urgent ranks in proportion to the wait for the next free slot, and a gate that starts assumes a third of the target as service time in place of 10 ms, since it took in more than it could answer in time while backend servers were cold.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -16,9 +16,12 @@
 	// headerSlack is the multiple of MaxHeader up to which a header is read, so
 	// that one above MaxHeader is refused with its kind. net/http ends longer
 	// ones by itself, with a plain 431.
-	headerSlack  = 4
-	maxStreams   = 250 // concurrent requests of one HTTP/2 connection
-	drainPoll    = 10 * time.Millisecond
+	headerSlack = 4
+	maxStreams  = 250 // concurrent requests of one HTTP/2 connection
+	drainPoll   = 10 * time.Millisecond
+	// closeTime bounds the wait for requests that were read just before Finish
+	// closes the listener, and for connections that never carry one.
+	closeTime    = 250 * time.Millisecond
 	drainLogName = "caller drained"
 )
 
@@ -104,6 +107,12 @@
 		}
 	}
 	err := ctx.Err()
+	// A request may have been read since: Shutdown lets its refusal be written.
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
+	defer cancel()
+	if e := c.server.Shutdown(end); e != nil && !errors.Is(e, context.DeadlineExceeded) {
+		err = errors.Join(err, e)
+	}
 	c.cfg.Pools.CloseIdle()
 	c.cfg.Log.Info(drainLogName, zap.Int64("interrupted", c.active.Load()))
 	return errors.Join(err, c.server.Close())
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -45,6 +45,11 @@
 	// Reserve keeps slots free that more urgent ranks are expected to ask for, so
 	// that short urgent work does not wait for long work to end.
 	Reserve bool
+
+	// Assumed is the share of the target of a rank that its service time is taken
+	// to be before the first samples; 0 assumes 10 ms. A gate that starts with too
+	// short a time takes in more than can be answered in time.
+	Assumed float64
 }
 
 // Machine is the admission state machine of one gate.
@@ -52,6 +57,7 @@
 	epoch    time.Time
 	order    Order
 	reserve  bool
+	assumed  float64
 	maxQueue int
 	ranks    []*rank // most urgent first
 	byName   map[mesh.Rank]*rank
@@ -72,7 +78,7 @@
 	if c.Ramp == 0 {
 		c.Ramp = defaultRamp
 	}
-	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, maxQueue: c.Queue, others: -bulkMemory}
+	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, assumed: c.Assumed, maxQueue: c.Queue, others: -bulkMemory}
 	m.limiter = limiter{fixed: c.Fixed, ramp: c.Ramp}
 	m.limiter.setSlots(c.Slots)
 	m.SetRanks(now, c.Ranks)
@@ -214,7 +220,7 @@
 	for _, p := range policies {
 		r := old[p.Name]
 		if r == nil {
-			r = newRank(p, at)
+			r = newRank(p, at, m.assumed)
 		}
 		r.setPolicy(p)
 		m.ranks = append(m.ranks, r)
@@ -343,11 +349,25 @@
 		if o == r {
 			break
 		}
-		reserved += o.expected(at)
+		reserved += o.expected(at) * m.urgency(o)
 	}
 	return limit-float64(m.inFlight) >= 1+min(reserved, reserveShare*limit)
 }
 
+// urgency returns the share of the slots that o is expected to ask for that is
+// kept free: 0 if slots come free so often that a request of o hardly waits for
+// one, 1 if that wait takes a good part of what the service time leaves of the
+// target.
+func (m *Machine) urgency(o *rank) float64 {
+	busy := 0.0 // seconds of work in the slots
+	for _, r := range m.ranks {
+		busy += float64(r.inFlight) * r.service
+	}
+	n := float64(max(m.inFlight, 1))
+	turn := busy / (n * n) // mean time until the next slot comes free
+	return min(1, turnShare*turn/max(o.waitBudget().Seconds(), 1e-3))
+}
+
 // bulkFits reports whether r may take one more slot. Bulk ranks get at most
 // half of the slots while other ranks have work or had some a short time ago,
 // and never the last one, since a bulk request may hold it for long.
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -34,8 +34,11 @@
 	// the service time uses up the target, since a late answer is still worth
 	// more than a refusal when there is no overload.
 	leastWait = 4
-	// initialService is the service time assumed before the first sample.
+	// initialService is the service time assumed before the first sample, unless
+	// Config.Assumed says otherwise.
 	initialService = 10 * time.Millisecond
+	// quickSamples is the number of samples that are averaged plainly at first.
+	quickSamples = 16
 	// saveUp is the time for which a rank with waiting work saves up its floor
 	// when it gets no slots.
 	saveUp = time.Second
@@ -44,6 +47,9 @@
 	// reserveShare is the largest share of the slots that is kept free for more
 	// urgent ranks.
 	reserveShare = 0.5
+	// turnShare is the inverse of the share of the useful wait from which on the
+	// wait for the next free slot has slots reserved in full.
+	turnShare = 4
 	// debtTime is the time of floor that a rank owes at most for slots that it
 	// got beyond its floor.
 	debtTime = 100 * time.Millisecond
@@ -60,6 +66,7 @@
 	refilled time.Duration // time of the last refill
 	service  float64       // mean service time in seconds
 	sampled  time.Duration // time of the last sample of service
+	samples  int           // of service, up to quickSamples
 	spread   float64       // mean deviation of the service time in seconds
 	interval float64       // mean seconds between two admissions from the queue
 	rate     float64       // arrivals per second, lately
@@ -69,8 +76,11 @@
 	latency  baseline
 }
 
-func newRank(p config.RankPolicy, now time.Duration) *rank {
-	r := &rank{refilled: now, service: initialService.Seconds()}
+func newRank(p config.RankPolicy, now time.Duration, assumed float64) *rank {
+	r := &rank{refilled: now, service: initialService.Seconds(), samples: quickSamples}
+	if s := assumed * p.Target.Seconds(); s > 0 {
+		r.service, r.samples = s, 0
+	}
 	r.queue.lines = make(map[mesh.ClientAccount]*line)
 	r.setPolicy(p)
 	return r
@@ -133,6 +143,10 @@
 	r.credit += charged - s
 	s = min(s, outlier*r.service)
 	w := min(serviceWeight, float64(now-r.sampled)/float64(serviceMemory))
+	if r.samples < quickSamples {
+		r.samples++
+		w = max(w, 1/float64(r.samples+1)) // the assumed time counts as one sample
+	}
 	r.sampled = now
 	diff := s - r.service
 	r.service += w * diff
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -32,6 +32,9 @@
 	// leaseHeartbeats is the number of heartbeats that may be missing before the
 	// backend server counts as failed. Single ones are seconds late.
 	leaseHeartbeats = 4
+	// assumedService is the share of a route's target that its work is assumed to
+	// take until the gate has seen some.
+	assumedService = 1.0 / 3
 	// joinLimit bounds the wait between two attempts to join.
 	joinLimit = time.Second
 	// mergePeriod is the mean time between two reads of the node rows by each of
@@ -123,7 +126,7 @@
 		Dialect:    backend.Dialect{Request: platform.Request, Response: n.response},
 		Lease:      leaseHeartbeats * set.Heartbeat,
 		MaxBody:    -1, // the caller listener applies the limit
-		Admission:  admit.Config{Fixed: true, Ramp: -1, Reserve: true},
+		Admission:  admit.Config{Fixed: true, Ramp: -1, Reserve: true, Assumed: assumedService},
 		Metrics:    n.metrics,
 		Log:        n.log,
 	})
