Choose endpoints by the time in which they are expected to answer

Gates now report their load and the work of the rank with each answer; a node picks the shorter expected time of two, and keeps the own zone while that is under three quarters of the target.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -12,6 +12,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/admit"
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/core/route"
 	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -133,7 +134,7 @@
 		h[k] = vs
 	}
 	h.Set(mesh.RequestHeader, string(c.id))
-	g.setPressure(w)
+	g.setPressure(w, c.Rank)
 	w.WriteHeader(s.status)
 	_, _ = w.Write(s.body)
 }
@@ -414,7 +415,7 @@
 		h.Del(fault.RunHeader)
 	}
 	h.Set(mesh.RequestHeader, string(c.id))
-	g.setPressure(w)
+	g.setPressure(w, c.Rank)
 	hop.CopyResponse(w, resp)
 	ok = true
 	if c.latency > 0 {
@@ -430,7 +431,7 @@
 	}
 	g.logRefusal(c, e)
 	w.Header().Set(mesh.RequestHeader, string(c.id))
-	g.setPressure(w)
+	g.setPressure(w, c.Rank)
 	fault.Write(w, e, c.id)
 }
 
@@ -452,12 +453,17 @@
 		zap.Int("limit", limit), zap.Stringer("endpoint", state), zap.String("instance", string(instance)))
 }
 
-func (g *Gate) setPressure(w http.ResponseWriter) {
+// setPressure sets the headers that tell the load of the gate.
+func (g *Gate) setPressure(w http.ResponseWriter, rank mesh.Rank) {
 	var buf [8]admit.RankPressure
+	now := time.Now()
 	g.mu.Lock()
-	ps := g.machine.Pressure(time.Now(), buf[:0])
+	ps := g.machine.Pressure(now, buf[:0])
+	busy := float64(g.machine.InFlight()+g.machine.Queued()) / float64(g.machine.Limit(now))
+	work := g.machine.Service(rank)
 	g.mu.Unlock()
 	if len(ps) > 0 {
 		w.Header().Set(mesh.PressureHeader, admit.FormatPressure(ps))
 	}
+	w.Header().Set(mesh.LoadHeader, route.FormatLoad(busy, work))
 }
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -184,6 +184,9 @@
 	if p := resp.Header.Get(mesh.PressureHeader); p != "" {
 		c.picker.Report(a.endpoint, p, a.started.Add(a.latency))
 	}
+	if l := resp.Header.Get(mesh.LoadHeader); l != "" {
+		c.picker.ReportLoad(a.endpoint, q.rank(), l, a.started.Add(a.latency))
+	}
 	e := refusalOf(resp)
 	if resp.StatusCode < http.StatusOK {
 		e = fault.New(fault.OutcomeUnknown, "endpoint switched protocols")
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -47,6 +47,7 @@
 	Snapshot func() *config.Snapshot // current configuration, nil before the first
 	HopToken string                  // authenticates requests to gates
 	Ready    func() bool             // whether callers may be served; always if nil
+	ByTime   bool                    // endpoints are chosen by the time in which they are expected to answer
 	Service  mesh.Service            // service of the backend server beside this node
 	Metrics  *metric.Registry
 	Log      *zap.Logger
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -8,6 +8,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/retry"
+	"lavenderrill.dev/lavenderrill/internal/core/route"
 )
 
 // forward sends q to endpoints until one answers or no further attempt is
@@ -123,16 +124,19 @@
 // pick starts the next attempt of q, or returns nil if no endpoint is left.
 func (c *Caller) pick(q *call) *attempt {
 	now := time.Now()
-	pick := c.picker.Pick
+	n := route.Need{Rank: q.rank()}
+	if c.cfg.ByTime {
+		n.Target = q.route.Policy.Target
+	}
 	switch {
 	case q.route.Policy.Bulk && q.crowded:
 		// The body is not sent between availability zones for want of room: the
 		// caller is told to come back.
-		pick = c.picker.PickOwn
+		n.Reach = route.Own
 	case q.route.Policy.Bulk:
-		pick = c.picker.PickNear
+		n.Reach = route.Near
 	}
-	e := pick(q.service, q.rank(), q.tried, now)
+	e := c.picker.PickFor(q.service, n, q.tried, now)
 	if e == nil {
 		return nil
 	}
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -94,6 +94,15 @@
 // Limit returns the number of requests that may be in flight at now.
 func (m *Machine) Limit(now time.Time) int { return m.limiter.limit(m.at(now)) }
 
+// Service returns the mean time that a request of the given rank holds its slot.
+func (m *Machine) Service(name mesh.Rank) time.Duration {
+	r := m.rankNamed(name)
+	if r == nil {
+		return initialService
+	}
+	return time.Duration(r.service * float64(time.Second))
+}
+
 // Draining reports whether Drain was called.
 func (m *Machine) Draining() bool { return m.draining }
 
--- a/internal/core/route/endpoint.go
+++ b/internal/core/route/endpoint.go
@@ -49,6 +49,7 @@
 	slots       float64 // at least 1
 	inflight    int
 	pressure    []pressureSample
+	load        load
 	obs         observations
 
 	drainedUntil time.Time // the gate refused with draining
--- /dev/null
+++ b/internal/core/route/load_test.go
@@ -0,0 +1,77 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// byTimePicker has a slow endpoint in the own zone and a fast one in another.
+func byTimePicker(now time.Time) *Picker {
+	p := NewPicker(PickerConfig{Zone: "a"})
+	p.Update([]member.Member{
+		{ID: "slow", Zone: "a", Addr: "10.0.0.1:1", Service: "s", Slots: 10, Endpoint: member.Ready},
+		{ID: "fast", Zone: "b", Addr: "10.0.0.2:1", Service: "s", Slots: 10, Endpoint: member.Ready},
+	}, now)
+	return p
+}
+
+func report(p *Picker, id mesh.NodeID, header string, now time.Time) {
+	p.ReportLoad(p.service("s").all[id], "r", header, now)
+}
+
+// TestPickForTime guards against requests that an endpoint in the own zone answers
+// late although one in another zone answers in time, and against crossing zones
+// for nothing.
+func TestPickForTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name       string
+		slow, fast string
+		need       Need
+		want       mesh.NodeID
+	}{
+		{"in time at home", "busy=0.50,work=250", "busy=0.10,work=50", Need{"r", 500 * time.Millisecond, Anywhere}, "slow"},
+		{"late at home", "busy=0.50,work=450", "busy=0.10,work=50", Need{"r", 500 * time.Millisecond, Anywhere}, "fast"},
+		{"queue at home", "busy=2.50,work=250", "busy=0.10,work=50", Need{"r", 500 * time.Millisecond, Anywhere}, "fast"},
+		{"longer queue abroad", "busy=2.00,work=250", "busy=20.00,work=50", Need{"r", 500 * time.Millisecond, Anywhere}, "slow"},
+		{"large body", "busy=2.50,work=450", "busy=0.10,work=50", Need{"r", 500 * time.Millisecond, Near}, "slow"},
+		{"nothing reported", "", "", Need{"r", 500 * time.Millisecond, Anywhere}, "slow"},
+		{"not valid", "busy=x,work=-1,,=", "busy=+Inf", Need{"r", 500 * time.Millisecond, Anywhere}, "slow"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := byTimePicker(now)
+			report(p, "slow", c.slow, now)
+			report(p, "fast", c.fast, now)
+			require.Equal(t, c.want, p.PickFor("s", c.need, nil, now).ID)
+		})
+	}
+}
+
+// TestLoadFades guards against an endpoint that is shunned for ever because of the
+// last load that it reported.
+func TestLoadFades(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := byTimePicker(now)
+	report(p, "slow", "busy=9.00,work=250", now)
+	report(p, "fast", "busy=0.10,work=50", now)
+	n := Need{"r", 500 * time.Millisecond, Anywhere}
+	require.Equal(t, mesh.NodeID("fast"), p.PickFor("s", n, nil, now).ID)
+	require.Equal(t, mesh.NodeID("slow"), p.PickFor("s", n, nil, now.Add(5*loadMemory)).ID)
+}
+
+// TestOwnZoneOnly guards against large bodies that are sent between zones for want
+// of room.
+func TestOwnZoneOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := byTimePicker(now)
+	n := Need{"r", 500 * time.Millisecond, Near}
+	e := p.PickFor("s", n, nil, now)
+	require.Equal(t, mesh.NodeID("slow"), e.ID)
+	n.Reach = Own
+	require.Nil(t, p.PickFor("s", n, []*Endpoint{e}, now))
+}
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -151,35 +151,11 @@
 // never returns an endpoint of tried. Every endpoint returned must be given
 // back by one call of Done.
 func (p *Picker) Pick(s mesh.Service, rank mesh.Rank, tried []*Endpoint, now time.Time) *Endpoint {
-	return p.pick(s, rank, tried, false, now)
+	return p.PickFor(s, Need{Rank: rank}, tried, now)
 }
 
-// PickNear is Pick for a request whose body is large: an endpoint of another
-// availability zone is returned only if none of the own zone is left.
-func (p *Picker) PickNear(s mesh.Service, rank mesh.Rank, tried []*Endpoint, now time.Time) *Endpoint {
-	return p.pick(s, rank, tried, true, now)
-}
-
-// PickOwn is Pick among the endpoints of the own availability zone. It returns an
-// endpoint of another one only if the zone has none at all.
-func (p *Picker) PickOwn(s mesh.Service, rank mesh.Rank, tried []*Endpoint, now time.Time) *Endpoint {
-	if slices.ContainsFunc(tried, func(e *Endpoint) bool { return e.Zone == p.zone }) {
-		svc := p.service(s)
-		if svc == nil {
-			return nil
-		}
-		svc.mu.Lock()
-		defer svc.mu.Unlock()
-		e := p.better(svc.local, rank, tried, now)
-		if e != nil {
-			e.inflight++
-		}
-		return e
-	}
-	return p.PickNear(s, rank, tried, now)
-}
-
-func (p *Picker) pick(s mesh.Service, rank mesh.Rank, tried []*Endpoint, near bool, now time.Time) *Endpoint {
+// PickFor is Pick for a request that needs n.
+func (p *Picker) PickFor(s mesh.Service, n Need, tried []*Endpoint, now time.Time) *Endpoint {
 	svc := p.service(s)
 	if svc == nil {
 		return nil
@@ -189,14 +165,8 @@
 	if !svc.rebuild.IsZero() && !now.Before(svc.rebuild) {
 		svc.sort(p.zone, now)
 	}
-	e := p.better(svc.local, rank, tried, now)
-	if e == nil || !near && e.pressed(rank, now) {
-		r := p.better(svc.remote, rank, tried, now)
-		if e == nil || r != nil && r.score(rank, now)+spillMargin < e.score(rank, now) {
-			e = r
-		}
-	}
-	if svc.mass && (e == nil || e.pressed(rank, now)) {
+	e := p.choose(svc, n, tried, now)
+	if svc.mass && (e == nil || e.pressed(n.Rank, now)) {
 		if d := p.cautious(svc.doubtful, tried, e == nil, now); d != nil {
 			e = d
 		}
@@ -207,6 +177,24 @@
 	return e
 }
 
+// choose returns an open endpoint for n, or nil.
+func (p *Picker) choose(svc *service, n Need, tried []*Endpoint, now time.Time) *Endpoint {
+	if n.Reach == Own && slices.ContainsFunc(tried, func(e *Endpoint) bool { return e.Zone == p.zone }) {
+		return p.better(svc.local, n.Rank, tried, now)
+	}
+	if n.Target > 0 {
+		return p.byTime(svc, n, tried, now)
+	}
+	e := p.better(svc.local, n.Rank, tried, now)
+	if e == nil || n.Reach == Anywhere && e.pressed(n.Rank, now) {
+		r := p.better(svc.remote, n.Rank, tried, now)
+		if e == nil || r != nil && r.score(n.Rank, now)+spillMargin < e.score(n.Rank, now) {
+			e = r
+		}
+	}
+	return e
+}
+
 // better returns the endpoint of lower score of two random ones of es.
 func (p *Picker) better(es []*Endpoint, rank mesh.Rank, tried []*Endpoint, now time.Time) *Endpoint {
 	a := p.draw(es, tried, nil)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -186,6 +186,7 @@
 		ID:        set.ID,
 		Zone:      set.Zone,
 		Service:   set.Service,
+		ByTime:    true,
 		Snapshot:  n.snapshot,
 		HopToken:  peer.HopToken(meshKey(set)),
 		Keep:      platform.ResponseHeaders,
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -16,6 +16,8 @@
 	DepthHeader = "Lavenderrill-Depth"
 	// PressureHeader carries the pressure of a gate per rank.
 	PressureHeader = "Lavenderrill-Pressure"
+	// LoadHeader carries the load of a gate.
+	LoadHeader = "Lavenderrill-Load"
 	// VersionHeader carries the configuration version that routed a request.
 	VersionHeader = "Lavenderrill-Version"
 	// RankHeader carries the rank that the route gives to a request.
