Admit requests that can be in time before those that cannot

The node now passes on what is left of the target, counted from the first attempt. Waits are estimated from the time in which slots come free and from the load of more urgent ranks, in place of the spacing of earlier admissions, which was stale for ranks that seldom wait.

TestOverloadIsAnsweredInTime and TestLateTicketsGiveWay play the load.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -190,6 +190,9 @@
 		return c, fault.New(fault.DeadlineExceeded, "deadline passed before the gate")
 	}
 	c.Deadline = time.Now().Add(left)
+	if ms, err := strconv.ParseInt(h.Get(mesh.TargetHeader), 10, 64); err == nil {
+		c.Target = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
 	return c, nil
 }
 
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -99,6 +99,9 @@
 		q.route.Name,
 		string(c.cfg.Service),
 	}
+	if left, ok := c.targetLeft(q, a.started); ok {
+		h[mesh.TargetHeader] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	}
 	for i, k := range hopHeaderNames {
 		h[k] = vs[i : i+1 : i+1]
 	}
--- a/internal/caller/comeback.go
+++ b/internal/caller/comeback.go
@@ -17,9 +17,9 @@
 	// comebackSpread is the least part of the time to come back. Callers that
 	// were refused together come back spread over the rest, not all at once.
 	comebackSpread = 0.3
-	// targetShare is the share of the target within which a caller is back if
-	// its answer is to be in time.
-	targetShare = 0.5
+	// workMargin times the work is the time before the end of the target at which a
+	// caller is back if its answer is to be in time.
+	workMargin = 1.2
 	// leastSlack is the least time up to then that is worth using.
 	leastSlack = 30 * time.Millisecond
 	// movedWait is the time after which a caller comes back that was refused
@@ -35,6 +35,7 @@
 	left   time.Duration // that the caller still waits
 	waited time.Duration // that it has waited, over all its attempts
 	target time.Duration // latency within which an answer is of full worth
+	work   time.Duration // that the request takes
 }
 
 // comeback returns the time after which the caller may come back, 0 if it should
@@ -45,7 +46,7 @@
 	longest := time.Duration(comebackShare * float64(r.left))
 	switch r.kind {
 	case fault.Overloaded, fault.Throttled:
-		if slack := time.Duration(targetShare*float64(r.target)) - r.waited; slack >= leastSlack {
+		if slack := r.target - time.Duration(workMargin*float64(r.work)) - r.waited; slack >= leastSlack {
 			longest = min(longest, slack)
 		}
 		return time.Duration(float64(longest) * (comebackSpread + (1-comebackSpread)*random))
@@ -64,6 +65,7 @@
 	r := refused{kind: e.Kind, left: time.Until(q.until)}
 	if q.route != nil {
 		r.target = q.route.Policy.Target
+		r.work = c.picker.Work(q.service, q.rank(), r.target)
 		r.waited = c.patience.longest(q.rank()) - r.left
 	}
 	d := comeback(r, rand.Float64())
@@ -119,3 +121,15 @@
 	v, _ := p.ranks.LoadOrStore(r, new(waits))
 	return v.(*waits)
 }
+
+// targetLeft returns the time that is left at now for an answer to q of full worth,
+// counted from the first attempt of its caller. It is not known for a caller that
+// did not say how long it waits, or on a route without a target.
+func (c *Caller) targetLeft(q *call, now time.Time) (time.Duration, bool) {
+	target := q.route.Policy.Target
+	if target <= 0 || q.until.IsZero() {
+		return 0, false
+	}
+	waited := c.patience.longest(q.rank()) - q.until.Sub(now)
+	return max(target-waited, 0), true
+}
--- a/internal/core/admit/heap.go
+++ b/internal/core/admit/heap.go
@@ -8,7 +8,7 @@
 func (d deadlines) Len() int { return len(d) }
 
 // Less implements sort.Interface.
-func (d deadlines) Less(i, j int) bool { return d[i].deadline < d[j].deadline }
+func (d deadlines) Less(i, j int) bool { return d[i].until < d[j].until }
 
 // Swap implements sort.Interface.
 func (d deadlines) Swap(i, j int) {
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -46,6 +46,10 @@
 	// that short urgent work does not wait for long work to end.
 	Reserve bool
 
+	// Timely admits requests that can be answered within their target before those
+	// that cannot, and estimates waits from the time in which slots come free.
+	Timely bool
+
 	// Assumed is the share of the target of a rank that its service time is taken
 	// to be before the first samples; 0 assumes 10 ms. A gate that starts with too
 	// short a time takes in more than can be answered in time.
@@ -58,6 +62,7 @@
 	order    Order
 	reserve  bool
 	assumed  float64
+	timely   bool
 	maxQueue int
 	ranks    []*rank // most urgent first
 	byName   map[mesh.Rank]*rank
@@ -78,7 +83,7 @@
 	if c.Ramp == 0 {
 		c.Ramp = defaultRamp
 	}
-	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, assumed: c.Assumed, maxQueue: c.Queue, others: -bulkMemory}
+	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, assumed: c.Assumed, timely: c.Timely, maxQueue: c.Queue, others: -bulkMemory}
 	m.limiter = limiter{fixed: c.Fixed, ramp: c.Ramp}
 	m.limiter.setSlots(c.Slots)
 	m.SetRanks(now, c.Ranks)
@@ -127,13 +132,17 @@
 	m.dispatch(at)
 	t.rank = r
 	r.arrived(at)
+	t.target = at + r.policy.Target
+	if !t.Target.IsZero() {
+		t.target = m.at(t.Target)
+	}
 	if !r.policy.Bulk {
 		m.others = at
 	}
 	switch {
 	case t.deadline <= at:
 		t.refuse(errExpired)
-	case r.queue.n == 0 && m.inFlight < m.limiter.limit(at) && m.fits(at, r):
+	case r.queue.n == 0 && m.inFlight < m.limiter.limit(at) && m.fits(at, r) && m.mayPass(at, t):
 		m.admit(at, t)
 	default:
 		m.enqueue(at, t)
@@ -190,9 +199,11 @@
 	m.begin(now)
 	m.draining = true
 	for _, r := range m.ranks {
-		for t := r.queue.pop(); t != nil; t = r.queue.pop() {
-			m.leave(t)
-			m.refuse(t, errDraining)
+		for _, q := range []*queue{&r.queue, &r.behind} {
+			for t := q.pop(); t != nil; t = q.pop() {
+				m.leave(t)
+				m.refuse(t, errDraining)
+			}
 		}
 	}
 	return m.decided
@@ -252,6 +263,10 @@
 		t.rank = to
 		to.queue.push(t)
 	}
+	for t := r.behind.pop(); t != nil; t = r.behind.pop() {
+		t.rank = to
+		to.behind.push(t)
+	}
 }
 
 // begin starts a call: it empties the result and returns the time of the call.
@@ -286,10 +301,14 @@
 
 // dispatch refuses what has expired and admits as much as the limit allows.
 func (m *Machine) dispatch(at time.Duration) {
-	for len(m.expiry) > 0 && m.expiry[0].deadline <= at {
+	for len(m.expiry) > 0 && m.expiry[0].until <= at {
 		t := m.expiry[0]
 		m.unqueue(t)
-		m.refuse(t, errExpired)
+		if t.deadline > at {
+			m.refuse(t, errPassed)
+		} else {
+			m.refuse(t, errExpired)
+		}
 	}
 	limit := m.limiter.limit(at)
 	if m.inFlight >= limit {
@@ -301,7 +320,10 @@
 	for m.inFlight < limit {
 		r := m.choose(at, limit)
 		if r == nil {
-			return
+			if !m.admitLate(at) {
+				return
+			}
+			continue
 		}
 		t := r.queue.pop()
 		m.leave(t)
@@ -368,13 +390,7 @@
 // one, 1 if that wait takes a good part of what the service time leaves of the
 // target.
 func (m *Machine) urgency(o *rank) float64 {
-	busy := 0.0 // seconds of work in the slots
-	for _, r := range m.ranks {
-		busy += float64(r.inFlight) * r.service
-	}
-	n := float64(max(m.inFlight, 1))
-	turn := busy / (n * n) // mean time until the next slot comes free
-	return min(1, turnShare*turn/max(o.waitBudget().Seconds(), 1e-3))
+	return min(1, turnShare*m.turn()/max(o.waitBudget().Seconds(), 1e-3))
 }
 
 // bulkFits reports whether r may take one more slot. Bulk ranks get at most
@@ -413,6 +429,11 @@
 // too long.
 func (m *Machine) enqueue(at time.Duration, t *Ticket) {
 	r := t.rank
+	t.until = t.deadline
+	if m.timely {
+		m.enqueueTimely(at, t)
+		return
+	}
 	if m.order != Arrival {
 		wait := m.wait(at, r, r.queue.lenOf(t.Account))
 		if t.deadline != noDeadline && wait+r.expectedService() > t.deadline-at {
@@ -424,6 +445,12 @@
 			return
 		}
 	}
+	m.push(at, t)
+}
+
+// push puts t at the end of its queue, unless the queue is full.
+func (m *Machine) push(at time.Duration, t *Ticket) {
+	r := t.rank
 	if r.queue.n >= m.maxQueue && !m.displace(t) {
 		t.refuse(errQueueFull)
 		return
@@ -433,9 +460,13 @@
 		r.refill(at, float64(m.limiter.limit(at)))
 	}
 	t.state = Queued
-	r.queue.push(t)
+	if t.late {
+		r.behind.push(t)
+	} else {
+		r.queue.push(t)
+	}
 	m.queued++
-	if t.deadline != noDeadline {
+	if t.until != noDeadline {
 		heap.Push(&m.expiry, t)
 	}
 }
@@ -486,7 +517,11 @@
 
 // unqueue takes the waiting t out of its queue.
 func (m *Machine) unqueue(t *Ticket) {
-	t.rank.queue.remove(t)
+	if t.late {
+		t.rank.behind.remove(t)
+	} else {
+		t.rank.queue.remove(t)
+	}
 	m.leave(t)
 }
 
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -61,6 +61,7 @@
 type rank struct {
 	policy   config.RankPolicy
 	queue    queue
+	behind   queue // tickets whose target has passed
 	inFlight int
 	credit   float64
 	refilled time.Duration // time of the last refill
@@ -82,6 +83,7 @@
 		r.service, r.samples = s, 0
 	}
 	r.queue.lines = make(map[mesh.ClientAccount]*line)
+	r.behind.lines = make(map[mesh.ClientAccount]*line)
 	r.setPolicy(p)
 	return r
 }
@@ -168,7 +170,7 @@
 		return nil
 	case t.deadline-now < r.expectedService():
 		return errTooShort
-	case r.policy.Target > 0 && now-t.offered > r.waitBudget():
+	case r.policy.Target > 0 && now > max(t.target-r.expectedService(), t.offered+r.policy.Target/leastWait):
 		return errLate
 	}
 	return nil
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -38,6 +38,7 @@
 	Rank     mesh.Rank
 	Account  mesh.ClientAccount
 	Deadline time.Time // latest useful time of the answer; zero means none
+	Target   time.Time // latest time of an answer of full worth; zero means the target of the rank from Offer on
 	Data     any       // for the caller's use
 
 	state    State
@@ -50,7 +51,10 @@
 	offered  time.Duration
 	admitted time.Duration
 	deadline time.Duration
-	charged  float64 // slot seconds charged at admission
+	target   time.Duration
+	late     bool          // waits in the queue of late tickets
+	until    time.Duration // end of the wait in the queue
+	charged  float64       // slot seconds charged at admission
 }
 
 // State returns the state of t.
@@ -72,6 +76,7 @@
 	errEvicted   = fault.New(fault.Overloaded, "displaced by a client account with less waiting work")
 	errLate      = fault.New(fault.Overloaded, "waited too long for the target of the rank")
 	errTooShort  = fault.New(fault.DeadlineExceeded, "too little time was left after the wait")
+	errPassed    = fault.New(fault.Overloaded, "the target had passed, and work that can be in time took all slots")
 	errExpired   = fault.New(fault.DeadlineExceeded, "deadline passed in the queue")
 	errDraining  = fault.New(fault.Draining, "the backend server takes no new work")
 	errNoRanks   = fault.New(fault.NotReady, "no configuration is held yet")
@@ -85,6 +90,7 @@
 	errEvicted:   "displaced",
 	errLate:      "late_for_target",
 	errTooShort:  "late_for_deadline",
+	errPassed:    "late_without_room",
 	errExpired:   "expired_in_queue",
 	errDraining:  "draining",
 	errNoRanks:   "no_ranks",
--- /dev/null
+++ b/internal/core/admit/timely_test.go
@@ -0,0 +1,85 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/pkg/config"
+)
+
+func timelyConfig() Config {
+	return Config{Slots: 18, Fixed: true, Ramp: -1, Timely: true, Reserve: true, Ranks: []config.RankPolicy{
+		{Name: "lookup", Target: 500 * time.Millisecond},
+		{Name: "book", Target: 800 * time.Millisecond},
+	}}
+}
+
+// TestOverloadIsAnsweredInTime guards against an overload in which every request
+// that is answered is answered late, or in which slots stay empty. Load: lookups at
+// 1.5 times what the slots can serve.
+func TestOverloadIsAnsweredInTime(t *testing.T) {
+	const capacity = 18 / 0.25 // per second
+	got := play(timelyConfig(), time.Minute, load{"lookup", 1.5 * capacity, 250 * time.Millisecond, 2 * time.Second})
+	l := got["lookup"]
+	// The share is the one that docs/design.md sets for a flood.
+	require.GreaterOrEqual(t, float64(l.inTarget), 0.95*capacity*60)
+}
+
+// TestLateTicketsGiveWay guards against callers that come back after a refusal, too
+// late for their target, and take the slots of those that can still be in time.
+func TestLateTicketsGiveWay(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := timelyConfig()
+	c.Slots = 1
+	m := New(c, now)
+	first := lookup(m, now, now.Add(500*time.Millisecond))
+	require.Equal(t, Admitted, first.State())
+	now = now.Add(time.Millisecond)
+	late := lookup(m, now, now)
+	require.Equal(t, Queued, late.State())
+	fresh := lookup(m, now, now.Add(500*time.Millisecond))
+	require.Equal(t, Queued, fresh.State())
+	now = now.Add(20 * time.Millisecond)
+	require.Equal(t, []*Ticket{fresh}, m.Done(now, first, 20*time.Millisecond))
+	now = now.Add(20 * time.Millisecond)
+	require.Equal(t, []*Ticket{late}, m.Done(now, fresh, 20*time.Millisecond))
+	require.Equal(t, Admitted, late.State())
+}
+
+// TestLateTicketsDoNotWaitLong guards against a caller that is held although no slot
+// comes free for it: it is told to come back instead.
+func TestLateTicketsDoNotWaitLong(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := timelyConfig()
+	c.Slots = 1
+	m := New(c, now)
+	lookup(m, now, now.Add(500*time.Millisecond))
+	late := lookup(m, now, now)
+	require.Equal(t, Queued, late.State())
+	require.Empty(t, m.Tick(now.Add(lateWait-1)))
+	require.Equal(t, []*Ticket{late}, m.Tick(now.Add(lateWait)))
+	require.Same(t, errPassed, late.Refusal())
+	require.Zero(t, m.Queued())
+}
+
+// TestDrainRefusesLateTickets guards against tickets that wait behind and are
+// forgotten by a drain.
+func TestDrainRefusesLateTickets(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := timelyConfig()
+	c.Slots = 1
+	m := New(c, now)
+	lookup(m, now, now.Add(500*time.Millisecond))
+	late := lookup(m, now, now)
+	require.Equal(t, []*Ticket{late}, m.Drain(now))
+	require.Zero(t, m.Queued())
+}
+
+// lookup offers a lookup with the given end of its target.
+func lookup(m *Machine, now, target time.Time) *Ticket {
+	t := &Ticket{Rank: "lookup", Deadline: now.Add(2 * time.Second), Target: target}
+	m.Offer(now, t)
+	return t
+}
--- a/internal/core/route/load.go
+++ b/internal/core/route/load.go
@@ -86,6 +86,30 @@
 	}
 }
 
+// Work returns the mean time that requests of rank take at the endpoints of s that
+// reported it, or the assumed share of target if none did.
+func (p *Picker) Work(s mesh.Service, rank mesh.Rank, target time.Duration) time.Duration {
+	var sum time.Duration
+	n := 0
+	if svc := p.service(s); svc != nil {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		svc.eachOpen(func(e *Endpoint) bool {
+			for i := range e.load.work {
+				if w := &e.load.work[i]; w.rank == rank {
+					sum += w.time
+					n++
+				}
+			}
+			return n < compareSample
+		})
+	}
+	if n == 0 {
+		return time.Duration(assumedShare * float64(target))
+	}
+	return sum / time.Duration(n)
+}
+
 func (e *Endpoint) setWork(rank mesh.Rank, d time.Duration) {
 	for i := range e.load.work {
 		if w := &e.load.work[i]; w.rank == rank {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -126,7 +126,7 @@
 		Dialect:    backend.Dialect{Request: platform.Request, Response: n.response},
 		Lease:      leaseHeartbeats * set.Heartbeat,
 		MaxBody:    -1, // the caller listener applies the limit
-		Admission:  admit.Config{Fixed: true, Ramp: -1, Reserve: true, Assumed: assumedService},
+		Admission:  admit.Config{Fixed: true, Ramp: -1, Reserve: true, Timely: true, Assumed: assumedService},
 		Metrics:    n.metrics,
 		Log:        n.log,
 	})
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -16,6 +16,9 @@
 	DepthHeader = "Lavenderrill-Depth"
 	// PressureHeader carries the pressure of a gate per rank.
 	PressureHeader = "Lavenderrill-Pressure"
+	// TargetHeader carries the time in milliseconds that is left for an answer of
+	// full worth, 0 if it has passed.
+	TargetHeader = "Lavenderrill-Target"
 	// LoadHeader carries the load of a gate.
 	LoadHeader = "Lavenderrill-Load"
 	// VersionHeader carries the configuration version that routed a request.
