Throttle requests whose target has passed apart from the others

Cause: in the overload of fresh-b82c gates refused those that came back late, and the throttle of the rank then refused new ones near the caller as well.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -22,6 +22,7 @@
 	table    *route.Table // one table for the whole request
 	route    *route.Route
 	service  mesh.Service // the service of the route or one of its shares
+	throttle mesh.Rank    // rank under which the request is throttled
 	deadline time.Time
 	until    time.Time          // end of the caller's own wait, zero if it did not say
 	ctx      context.Context    // ends at the deadline
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -26,7 +26,7 @@
 	} else {
 		a = c.sequence(ctx, q, b)
 	}
-	c.throttles.Done(q.service, q.rank(), !refusedForLoad(a.fault), time.Now())
+	c.throttles.Done(q.service, q.throttle, !refusedForLoad(a.fault), time.Now())
 	if a.fault != nil {
 		return nil, q.outcome(a.fault)
 	}
--- a/internal/caller/steps.go
+++ b/internal/caller/steps.go
@@ -103,13 +103,23 @@
 // throttle refuses a share of the requests that gates would refuse.
 func (c *Caller) throttle(ctx context.Context, q *call) (context.Context, error) {
 	s, rank := q.service, q.rank()
+	q.throttle = rank
+	if left, ok := c.targetLeft(q, q.arrived); ok && left < c.picker.Work(s, rank, q.route.Policy.Target) {
+		// Gates refuse those that cannot be in time first. Their refusals must not
+		// have those throttled that can.
+		q.throttle += lateSuffix
+	}
 	pressed := func() bool { return c.picker.Pressure(s, rank, q.arrived) >= throttlePressure }
-	if c.throttles.Allow(s, rank, q.arrived, pressed) {
+	if c.throttles.Allow(s, q.throttle, q.arrived, pressed) {
 		return ctx, nil
 	}
 	return ctx, fault.New(fault.Throttled, "all endpoints sampled report pressure for the rank")
 }
 
+// lateSuffix follows the rank of requests whose target has passed, which are
+// throttled apart.
+const lateSuffix = "/late"
+
 // throttlePressure is the pressure at every endpoint from which requests are
 // refused early.
 const throttlePressure = 0.5
