--- a/internal/trial/build.go
+++ b/internal/trial/build.go
@@ -59,7 +59,7 @@
 // cached test result as valid unless a file that the test opened has changed,
 // and it does not see what the go build of the programs reads.
 func visitSources() error {
-	for _, dir := range []string{"cmd", "internal", "pkg", "examples"} {
+	for _, dir := range []string{"cmd", "internal", "pkg", "platform", "examples"} {
 		err := filepath.WalkDir(filepath.Join(moduleDir(), dir), func(string, fs.DirEntry, error) error { return nil })
 		if err != nil {
 			return err
--- a/internal/trial/chaos.go
+++ b/internal/trial/chaos.go
@@ -9,6 +9,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/standin/inject"
 	"lavenderrill.dev/lavenderrill/internal/standin/relay"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 )
 
 // Fault is one kind of fault that Chaos causes.
@@ -67,7 +68,7 @@
 					c.fail(err)
 					return
 				}
-				wait(ctx, c.Pause)
+				_ = wait.For(ctx, c.Pause)
 			}
 		})
 	}
@@ -140,13 +141,13 @@
 		if err := n.Server().Kill(); err != nil {
 			return err
 		}
-		wait(ctx, c.between(0, 500*time.Millisecond))
+		_ = wait.For(ctx, c.between(0, 500*time.Millisecond))
 		return n.StartServer(clean)
 	case KillNode:
 		if err := n.Process().Kill(); err != nil {
 			return err
 		}
-		wait(ctx, c.between(0, 500*time.Millisecond))
+		_ = wait.For(ctx, c.between(0, 500*time.Millisecond))
 		return n.Start(clean)
 	case KillBoth:
 		return n.Replace(clean)
@@ -178,7 +179,7 @@
 	if err := p.Freeze(); err != nil {
 		return err
 	}
-	wait(ctx, d)
+	_ = wait.For(ctx, d)
 	return p.Resume()
 }
 
@@ -186,7 +187,7 @@
 	if err := n.Relay.SetFaults(f); err != nil {
 		return err
 	}
-	wait(ctx, c.between(longest/4, longest))
+	_ = wait.For(ctx, c.between(longest/4, longest))
 	return n.Relay.SetFaults(relay.Faults{})
 }
 
@@ -199,15 +200,6 @@
 	if err := c.Mesh.Platform.SetFaults(clean, f, f); err != nil {
 		return err
 	}
-	wait(ctx, c.between(500*time.Millisecond, 2*time.Second))
+	_ = wait.For(ctx, c.between(500*time.Millisecond, 2*time.Second))
 	return c.Mesh.Platform.SetFaults(clean, inject.Faults{}, inject.Faults{})
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -55,26 +55,10 @@
 // start starts a program and decodes the JSON line that it prints when it is
 // ready into addrs.
 func start(ctx context.Context, name, logPath string, env []string, addrs any, path string, args ...string) (*Process, error) {
-	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	p, r, log, err := spawn(name, logPath, env, path, args)
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(path, args...)
-	cmd.Env = append(os.Environ(), env...)
-	cmd.Stderr = log
-	r, w, err := os.Pipe()
-	if err != nil {
-		_ = log.Close()
-		return nil, err
-	}
-	cmd.Stdout = w
-	err = startCommand(cmd)
-	_ = w.Close()
-	if err != nil {
-		_, _ = log.Close(), r.Close()
-		return nil, fmt.Errorf("start %s: %w", name, err)
-	}
-	p := &Process{Name: name, Log: logPath, cmd: cmd, done: make(chan struct{})}
 	line := make(chan []byte, 1)
 	output := make(chan struct{})
 	go func() {
@@ -84,12 +68,7 @@
 		line <- b
 		_, _ = io.Copy(log, br)
 	}()
-	go func() {
-		p.err = cmd.Wait()
-		<-output
-		_, _ = log.Close(), r.Close()
-		close(p.done)
-	}()
+	go p.wait(output, r, log)
 	if err := p.ready(ctx, line, addrs); err != nil {
 		_ = p.Kill()
 		return nil, err
@@ -97,6 +76,56 @@
 	return p, nil
 }
 
+// Launch starts a program whose output is its log.
+func Launch(name, logPath string, env []string, path string, args ...string) (*Process, error) {
+	p, r, log, err := spawn(name, logPath, env, path, args)
+	if err != nil {
+		return nil, err
+	}
+	output := make(chan struct{})
+	go func() {
+		defer close(output)
+		_, _ = io.Copy(log, r) // ends with the process
+	}()
+	go p.wait(output, r, log)
+	return p, nil
+}
+
+// spawn starts a program with its errors in the file at logPath. Its output can
+// be read from the pipe.
+func spawn(name, logPath string, env []string, path string, args []string) (*Process, *os.File, *os.File, error) {
+	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	cmd := exec.Command(path, args...)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stderr = log
+	r, w, err := os.Pipe()
+	if err != nil {
+		_ = log.Close()
+		return nil, nil, nil, err
+	}
+	cmd.Stdout = w
+	err = startCommand(cmd)
+	_ = w.Close()
+	if err != nil {
+		_, _ = log.Close(), r.Close()
+		return nil, nil, nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	return &Process{Name: name, Log: logPath, cmd: cmd, done: make(chan struct{})}, r, log, nil
+}
+
+// wait waits for the end of p, and of its output, and closes the files.
+func (p *Process) wait(output <-chan struct{}, files ...*os.File) {
+	p.err = p.cmd.Wait()
+	<-output
+	for _, f := range files {
+		_ = f.Close()
+	}
+	close(p.done)
+}
+
 func (p *Process) ready(ctx context.Context, line <-chan []byte, addrs any) error {
 	t := time.NewTimer(readyTimeout)
 	defer t.Stop()
--- a/internal/trial/version_test.go
+++ b/internal/trial/version_test.go
@@ -13,6 +13,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/standin/inject"
 	"lavenderrill.dev/lavenderrill/internal/standin/relay"
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/client"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -147,7 +148,7 @@
 			}
 			return nil
 		}
-		wait(ctx, pollPause)
+		_ = wait.For(ctx, pollPause)
 	}
 }
 
--- a/internal/trial/watch.go
+++ b/internal/trial/watch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -35,7 +36,7 @@
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				w.look(ctx, n)
-				wait(ctx, watchPause)
+				_ = wait.For(ctx, watchPause)
 			}
 		})
 	}
