--- a/cmd/lavenderrill/main.go
+++ b/cmd/lavenderrill/main.go
@@ -41,7 +41,7 @@
 	app := kingpin.New("lavenderrill", help)
 	app.HelpFlag.Short('h')
 	app.Terminate(nil)
-	cmds := []command{nodeCommand(app), hostedCommand(app), demoCommand(app)}
+	cmds := []command{nodeCommand(app), hostedCommand(app), traceCommand(app), demoCommand(app)}
 	cmds = append(cmds, operatorCommands(app)...)
 	for _, a := range args {
 		if a == "--help" || a == "-h" || a == "--help-long" {
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -56,6 +56,22 @@
 	ce.Write(fs...)
 }
 
+// logAnswer writes the line about a response that was passed on whole. Most such
+// lines are left out by sampling.
+func (c *Caller) logAnswer(q *call, a *attempt, status int, err error) {
+	if err != nil {
+		return // respond logs that it broke off
+	}
+	ce := c.cfg.Log.Check(zap.InfoLevel, "request answered")
+	if ce == nil {
+		return
+	}
+	ce.Write(zap.String("request", string(q.id)), zap.Int("status", status), zap.String("route", q.route.Name),
+		zap.String("service", string(q.service)), zap.String("endpoint", string(a.endpoint.ID)),
+		zap.Int("attempts", q.attempts), zap.Duration("after", time.Since(q.arrived)),
+		zap.Uint64("version", uint64(q.table.Snapshot().Version)))
+}
+
 // abandonBody limits the time for the rest of the body of a refused request.
 // net/http reads it before it closes the connection, without time-out, although
 // a caller that waits for 100 Continue never sends it.
@@ -96,6 +112,7 @@
 		o = route.Failed
 	}
 	c.finish(q, a, o)
+	c.logAnswer(q, a, resp.StatusCode, err)
 	c.counts.rank(q.rank()).done(q, err == nil && resp.StatusCode < http.StatusInternalServerError)
 	if err != nil {
 		c.counts.aborted.Add(1)
