Notice watches that fell silent

Two nodes of each availability zone now let their watch end after half of the rollout bound and give it up 0.4 s later. A node that applies a version shows it to three others at once, in place of with its next probe. TestSourceSilentWatch plays both; its reader case fails with the former length of a watch.

--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -226,6 +226,16 @@
 	return out
 }
 
+// Show sends the version of this node to a few members at once, with what is
+// queued, so that they need not wait for its next probe.
+func (l *List) Show(now time.Time) []Datagram {
+	var out []Datagram
+	for _, r := range l.pick(gossipFanout, "") {
+		out = append(out, Datagram{To: r.Addr, Message: l.message(now, Gossip, r.ID, false)})
+	}
+	return out
+}
+
 // Receive takes in a message that came from address source and returns the
 // messages to send. Members that this node does not know are answered at
 // source, all others at their own address.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	n.store = platform.NewStore(set.Store, callTimeout)
-	n.source = newSource(n.store, set.Rollout, n.apply, n.log)
+	n.source = newSource(n.store, set.Rollout, func() bool { return n.peer.Reader() }, n.apply, n.log)
 	n.gate = n.newGate()
 	if n.peer, err = n.newPeer(); err != nil {
 		n.close()
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -18,8 +18,12 @@
 const (
 	// watchWait is the time after which the store ends a watch without a change.
 	watchWait = 25 * time.Second
-	// watchGrace is the wait for the end of a watch beyond watchWait.
-	watchGrace = 2 * time.Second
+	// readerShare is the share of the rollout bound after which the watch of a
+	// reader ends. A connection can fall silent for good: readers find out, and
+	// tell the others by the version that they show.
+	readerShare = 0.5
+	// watchGrace is the wait for the end of a watch beyond its time.
+	watchGrace = 400 * time.Millisecond
 	// callTimeout bounds a call of the store that does not wait. The store
 	// answers in milliseconds; a slow one has been seen to take 0.3 s.
 	callTimeout = time.Second
@@ -40,6 +44,7 @@
 	watch   func(ctx context.Context, after platform.Position, d time.Duration) (*platform.Config, platform.Position, error)
 	apply   func(*platform.Config) // called with rising versions
 	rollout time.Duration          // within which a version must be in force
+	reader  func() bool            // whether this node reads the store for its availability zone
 	log     *zap.Logger
 
 	version atomic.Uint64
@@ -47,10 +52,10 @@
 	lost    bool          // the last call failed
 }
 
-func newSource(s *platform.Store, rollout time.Duration, apply func(*platform.Config), log *zap.Logger) *source {
+func newSource(s *platform.Store, rollout time.Duration, reader func() bool, apply func(*platform.Config), log *zap.Logger) *source {
 	return &source{
 		read: s.ReadConfig, watch: s.WatchConfig, apply: apply,
-		rollout: rollout, log: log, hint: make(chan struct{}, 1),
+		rollout: rollout, reader: reader, log: log, hint: make(chan struct{}, 1),
 	}
 }
 
@@ -123,12 +128,24 @@
 	}
 }
 
-// errHint ends a watch because another node holds a newer version.
-var errHint = errors.New("another node holds a newer version")
+// The ends of a watch that is given up.
+var (
+	errHint   = errors.New("another node holds a newer version")
+	errSilent = errors.New("the watch did not end in time")
+)
+
+// longest returns the time after which the store is to end the next watch.
+func (s *source) longest() time.Duration {
+	if s.reader() {
+		return time.Duration(readerShare * float64(s.rollout))
+	}
+	return watchWait
+}
 
 func (s *source) watchOnce(ctx context.Context, pos platform.Position) (*platform.Config, platform.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	start, longest := time.Now(), s.longest()
 	type answer struct {
 		c   *platform.Config
 		pos platform.Position
@@ -136,10 +153,12 @@
 	}
 	done := make(chan answer, 1)
 	go func() {
-		c, next, err := s.watch(ctx, pos, watchWait)
+		c, next, err := s.watch(ctx, pos, longest)
 		done <- answer{c, next, err}
 	}()
 	var late <-chan time.Time
+	check := time.NewTicker(watchGrace)
+	defer check.Stop()
 	for {
 		select {
 		case a := <-done:
@@ -148,6 +167,16 @@
 			if late == nil {
 				late = time.After(hintDelay)
 			}
+		case <-check.C:
+			// A node that becomes a reader ends its long watch.
+			if time.Since(start) < min(longest, s.longest())+watchGrace {
+				continue
+			}
+			cancel()
+			if a := <-done; a.err == nil {
+				return a.c, a.pos, nil
+			}
+			return nil, 0, errSilent
 		case <-late:
 			cancel()
 			<-done
--- /dev/null
+++ b/internal/hosted/source_test.go
@@ -0,0 +1,136 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+	"lavenderrill.dev/lavenderrill/platform"
+)
+
+const testRollout = 2 * time.Second
+
+// fakeStore holds a configuration in memory.
+type fakeStore struct {
+	version atomic.Uint64
+	silent  atomic.Bool // watches do not answer
+	down    atomic.Bool // calls fail
+	calls   atomic.Int64
+}
+
+func (f *fakeStore) config() (*platform.Config, platform.Position, error) {
+	f.calls.Add(1)
+	if f.down.Load() {
+		return nil, 0, errors.New("down")
+	}
+	v := f.version.Load()
+	return &platform.Config{Snapshot: &config.Snapshot{Version: mesh.Version(v)}}, platform.Position(v), nil
+}
+
+func (f *fakeStore) read(context.Context) (*platform.Config, platform.Position, error) {
+	return f.config()
+}
+
+func (f *fakeStore) watch(ctx context.Context, after platform.Position, d time.Duration) (*platform.Config, platform.Position, error) {
+	if f.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	end := time.Now().Add(d)
+	for time.Now().Before(end) && f.version.Load() <= uint64(after) && !f.silent.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if f.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return f.config()
+}
+
+// startSource runs a source until the test ends.
+func startSource(t *testing.T, f *fakeStore, reader bool) (*source, *[]mesh.Version) {
+	var applied []mesh.Version
+	s := &source{
+		read: f.read, watch: f.watch, rollout: testRollout, log: zap.NewNop(),
+		reader: func() bool { return reader }, hint: make(chan struct{}, 1),
+		apply: func(c *platform.Config) { applied = append(applied, c.Snapshot.Version) },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	return s, &applied
+}
+
+// TestSourceSilentWatch guards against a configuration that is not in force because
+// every watch of the mesh fell silent with the store and was waited for: a reader
+// finds out within the rollout bound, and another node when a reader shows a version.
+func TestSourceSilentWatch(t *testing.T) {
+	for name, reader := range map[string]bool{"reader": true, "told": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := new(fakeStore)
+				f.version.Store(1)
+				s, applied := startSource(t, f, reader)
+				time.Sleep(3 * time.Second)
+				f.silent.Store(true)
+				time.Sleep(time.Second)
+				f.version.Store(5)
+				if !reader {
+					s.hear(5)
+				}
+				time.Sleep(testRollout)
+				require.Equal(t, []mesh.Version{1, 5}, *applied)
+			})
+		})
+	}
+}
+
+// TestSourceOldVersion guards against a node that goes back to an older version, or
+// that forgets its version while the store is away.
+func TestSourceOldVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(fakeStore)
+		f.version.Store(7)
+		_, applied := startSource(t, f, true)
+		time.Sleep(time.Second)
+		f.version.Store(4)
+		time.Sleep(testRollout)
+		f.down.Store(true)
+		time.Sleep(10 * time.Second)
+		f.down.Store(false)
+		f.version.Store(9)
+		time.Sleep(testRollout)
+		require.Equal(t, []mesh.Version{7, 9}, *applied)
+	})
+}
+
+// TestSourceCalls guards against calls to the store that grow with the number of
+// nodes and changes: a series of changes costs a node few watches, and a node that
+// is no reader hardly calls without one.
+func TestSourceCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(fakeStore)
+		f.version.Store(1)
+		startSource(t, f, false)
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, f.calls.Load(), int64(4))
+		before := f.calls.Load()
+		for range 50 {
+			f.version.Add(3)
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.calls.Load()-before, int64(9), "5 s of changes")
+	})
+}
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
-	"lavenderrill.dev/lavenderrill/internal/core/version"
 	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
 	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -151,7 +150,7 @@
 // readsRows reports whether this node reads the node rows for its availability
 // zone.
 func (p *Peer) readsRows() bool {
-	return p.cfg.Merge > 0 && version.IsReader(p.cfg.Self.ID, p.cfg.Self.Zone, p.members())
+	return p.cfg.Merge > 0 && p.Reader()
 }
 
 // untilSync returns the time to the next exchange, about wait. A node that is
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -181,8 +181,16 @@
 func (p *Peer) SetVersion(v mesh.Version) {
 	p.external.Store(uint64(v))
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.list.SetVersion(v)
+	out := p.list.Show(time.Now())
+	p.mu.Unlock()
+	p.send(out)
+}
+
+// Reader reports whether this node is one of those that read the platform for their
+// availability zone.
+func (p *Peer) Reader() bool {
+	return version.IsReader(p.cfg.Self.ID, p.cfg.Self.Zone, p.members())
 }
 
 // Joined reports whether another node is known.
