--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -171,8 +171,9 @@
 	g.notifyEndpoint()
 }
 
-// connectionFailed counts a connection to addr that could not be made or broke
-// before an answer.
+// connectionFailed counts a connection to addr that could not be made. One that
+// broke before its answer does not count: a backend server that loses some answers
+// still gives the others, and taking it out costs callers more.
 func (g *Gate) connectionFailed(addr mesh.Addr) {
 	now := time.Now()
 	g.mu.Lock()
--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -203,6 +203,23 @@
 	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Second)).status)
 }
 
+// TestLostAnswers guards against a backend server that is taken out because it
+// loses some of its answers, three of them in a row by chance.
+func TestLostAnswers(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer s.Close()
+	r := newRig(t, s.Listener.Addr().String(), nil)
+	for range failureLimit + 1 {
+		send(t, r.request(t, http.MethodPost, "", time.Second)).requireRefusal(t, fault.OutcomeUnknown, fault.Unknown)
+	}
+	require.Equal(t, member.Ready, r.Status().State)
+	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodGet, "", time.Second)).status)
+}
+
 // TestCancel guards against work that goes on after its caller went away.
 func TestCancel(t *testing.T) {
 	started, ended := make(chan struct{}), make(chan struct{})
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -365,7 +365,9 @@
 	case errors.Is(err, hop.ErrBody):
 		return fault.Newf(fault.Canceled, "the caller broke off: %w", err).WithRun(run)
 	}
-	g.connectionFailed(c.endpoint)
+	if run == fault.NotRun {
+		g.connectionFailed(c.endpoint)
+	}
 	g.log.Debug("connection to the backend server failed", zap.Error(err), zap.String("run", string(run)))
 	if run == fault.NotRun {
 		return fault.Newf(fault.NoEndpoint, "no connection to the backend server: %w", err)
