Let few nodes of the mesh watch the store for the others

Two nodes of each zone ended their watch every second, and a version shown by another node had the store read again although the watch had brought it meanwhile.

Three nodes of the whole mesh now watch for the others, whatever its size; a hint is dropped once its version is held or the store does not have it; and 0.55 in place of 0.35 of the rollout bound pass between two watches.

--- a/internal/core/version/tree.go
+++ b/internal/core/version/tree.go
@@ -19,6 +19,10 @@
 	// with a new version pushes to. Two of them let a push reach the zone when
 	// one has just failed.
 	entries = 2
+	// watchers is the number of members of the whole mesh that look for what the
+	// others may have missed. The calls that they make do not grow with the mesh,
+	// and one that just failed leaves two.
+	watchers = 3
 	// readers is the number of members of an availability zone that read the
 	// platform.
 	readers = 2
@@ -102,6 +106,19 @@
 	return slices.ContainsFunc(o[:min(readers, len(o))], func(m member.Member) bool { return m.ID == id })
 }
 
+// IsWatcher reports whether the member of the given id is one of the few of the
+// whole mesh that look for versions and members which the others may have missed.
+func IsWatcher(id mesh.NodeID, ms []member.Member) bool {
+	const seed = 0x7761746368657273
+	own, above := weight(seed, id), 0
+	for i := range ms {
+		if m := &ms[i]; m.Status == member.Alive && m.ID != id && weight(seed, m.ID) > own {
+			above++
+		}
+	}
+	return above < watchers
+}
+
 // keepers is the number of members that keep ledgers. Fewer would let a node
 // send its asks in fewer requests, but each keeper would serve more of them.
 const keepers = 64
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -38,7 +38,7 @@
 	// joinLimit bounds the wait between two attempts to join.
 	joinLimit = time.Second
 	// mergePeriod is the mean time between two reads of the node rows by each of
-	// two nodes of an availability zone: what was apart is together again soon
+	// the watchers: what was apart is together again soon
 	// after the store is back, at few calls a node.
 	mergePeriod = 3 * time.Second
 	// peerShutdown bounds the wait for peer connections at the end. The gate is
@@ -93,8 +93,8 @@
 	if err := n.listen(metrics); err != nil {
 		return nil, err
 	}
-	n.store = platform.NewStore(set.Store, callTimeout)
-	n.source = newSource(n.store, set.Rollout, func() bool { return n.peer.Reader() }, n.apply, n.log)
+	n.store = platform.NewStore(set.Store, callTimeout, n.metrics.ByReason("store_calls").Add)
+	n.source = newSource(n.store, set.Rollout, func() bool { return n.peer.Watcher() }, n.apply, n.log)
 	n.gate = n.newGate()
 	if n.peer, err = n.newPeer(); err != nil {
 		n.close()
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -18,10 +18,10 @@
 const (
 	// watchWait is the time after which the store ends a watch without a change.
 	watchWait = 25 * time.Second
-	// readerShare is the share of the rollout bound after which the watch of a
-	// reader ends. A connection can fall silent for good: readers find out, and
+	// watcherShare is the share of the rollout bound after which the watch of a
+	// watcher ends. A connection can fall silent for good: watchers find out, and
 	// tell the others by the version that they show.
-	readerShare = 0.5
+	watcherShare = 0.5
 	// watchGrace is the wait for the end of a watch beyond its time.
 	watchGrace = 400 * time.Millisecond
 	// callTimeout bounds a call of the store that does not wait. The store
@@ -35,7 +35,7 @@
 	lastBackoff  = time.Second
 	// watchShare is the share of the rollout bound that passes at least between
 	// two watches, so that a series of changes costs few calls.
-	watchShare = 0.35
+	watchShare = 0.55
 )
 
 // source keeps the node's configuration equal to the one in the store.
@@ -44,25 +44,32 @@
 	watch   func(ctx context.Context, after platform.Position, d time.Duration) (*platform.Config, platform.Position, error)
 	apply   func(*platform.Config) // called with rising versions
 	rollout time.Duration          // within which a version must be in force
-	reader  func() bool            // whether this node reads the store for its availability zone
+	watcher func() bool            // whether this node looks for what the others may have missed
 	log     *zap.Logger
 
 	version atomic.Uint64
-	hint    chan struct{} // another node holds a higher version
+	heard   atomic.Uint64 // highest version that another node showed
+	hint    chan struct{} // heard has grown
 	lost    bool          // the last call failed
 }
 
-func newSource(s *platform.Store, rollout time.Duration, reader func() bool, apply func(*platform.Config), log *zap.Logger) *source {
+func newSource(s *platform.Store, rollout time.Duration, watcher func() bool, apply func(*platform.Config), log *zap.Logger) *source {
 	return &source{
 		read: s.ReadConfig, watch: s.WatchConfig, apply: apply,
-		rollout: rollout, reader: reader, log: log, hint: make(chan struct{}, 1),
+		rollout: rollout, watcher: watcher, log: log, hint: make(chan struct{}, 1),
 	}
 }
 
 // hear takes in that another node holds version v.
 func (s *source) hear(v mesh.Version) {
-	if uint64(v) <= s.version.Load() {
-		return
+	for {
+		h := s.heard.Load()
+		if uint64(v) <= max(h, s.version.Load()) {
+			return
+		}
+		if s.heard.CompareAndSwap(h, uint64(v)) {
+			break
+		}
 	}
 	select {
 	case s.hint <- struct{}{}:
@@ -70,6 +77,9 @@
 	}
 }
 
+// behind reports whether another node holds a higher version.
+func (s *source) behind() bool { return s.heard.Load() > s.version.Load() }
+
 // run reads the configuration and watches for changes until ctx ends.
 func (s *source) run(ctx context.Context) error {
 	for failures := 0; ctx.Err() == nil; {
@@ -100,6 +110,8 @@
 	if err == nil || pos > 0 {
 		s.reached()
 		s.take(c, err)
+		// What the store does not have is not waited for, whoever shows it.
+		s.heard.Store(s.version.Load())
 		return pos, nil
 	}
 	return 0, err
@@ -136,8 +148,8 @@
 
 // longest returns the time after which the store is to end the next watch.
 func (s *source) longest() time.Duration {
-	if s.reader() {
-		return time.Duration(readerShare * float64(s.rollout))
+	if s.watcher() {
+		return time.Duration(watcherShare * float64(s.rollout))
 	}
 	return watchWait
 }
@@ -164,11 +176,11 @@
 		case a := <-done:
 			return a.c, a.pos, a.err
 		case <-s.hint:
-			if late == nil {
+			if late == nil && s.behind() {
 				late = time.After(hintDelay)
 			}
 		case <-check.C:
-			// A node that becomes a reader ends its long watch.
+			// A node that becomes a watcher ends its long watch.
 			if time.Since(start) < min(longest, s.longest())+watchGrace {
 				continue
 			}
@@ -178,6 +190,10 @@
 			}
 			return nil, 0, errSilent
 		case <-late:
+			late = nil
+			if !s.behind() {
+				continue
+			}
 			cancel()
 			<-done
 			return nil, 0, errHint
--- a/internal/hosted/source_test.go
+++ b/internal/hosted/source_test.go
@@ -56,11 +56,11 @@
 }
 
 // startSource runs a source until the test ends.
-func startSource(t *testing.T, f *fakeStore, reader bool) (*source, *[]mesh.Version) {
+func startSource(t *testing.T, f *fakeStore, watcher bool) (*source, *[]mesh.Version) {
 	var applied []mesh.Version
 	s := &source{
 		read: f.read, watch: f.watch, rollout: testRollout, log: zap.NewNop(),
-		reader: func() bool { return reader }, hint: make(chan struct{}, 1),
+		watcher: func() bool { return watcher }, hint: make(chan struct{}, 1),
 		apply: func(c *platform.Config) { applied = append(applied, c.Snapshot.Version) },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -74,20 +74,20 @@
 }
 
 // TestSourceSilentWatch guards against a configuration that is not in force because
-// every watch of the mesh fell silent with the store and was waited for: a reader
-// finds out within the rollout bound, and another node when a reader shows a version.
+// every watch of the mesh fell silent with the store and was waited for: a watcher
+// finds out within the rollout bound, and another node when a watcher shows a version.
 func TestSourceSilentWatch(t *testing.T) {
-	for name, reader := range map[string]bool{"reader": true, "told": false} {
+	for name, watcher := range map[string]bool{"watcher": true, "told": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := new(fakeStore)
 				f.version.Store(1)
-				s, applied := startSource(t, f, reader)
+				s, applied := startSource(t, f, watcher)
 				time.Sleep(3 * time.Second)
 				f.silent.Store(true)
 				time.Sleep(time.Second)
 				f.version.Store(5)
-				if !reader {
+				if !watcher {
 					s.hear(5)
 				}
 				time.Sleep(testRollout)
@@ -118,19 +118,34 @@
 
 // TestSourceCalls guards against calls to the store that grow with the number of
 // nodes and changes: a series of changes costs a node few watches, and a node that
-// is no reader hardly calls without one.
+// is no watcher hardly calls without one.
 func TestSourceCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := new(fakeStore)
 		f.version.Store(1)
-		startSource(t, f, false)
+		s, _ := startSource(t, f, false)
 		time.Sleep(time.Minute)
 		require.LessOrEqual(t, f.calls.Load(), int64(4))
 		before := f.calls.Load()
 		for range 50 {
-			f.version.Add(3)
+			s.hear(mesh.Version(f.version.Add(3)))
 			time.Sleep(100 * time.Millisecond)
 		}
 		require.LessOrEqual(t, f.calls.Load()-before, int64(9), "5 s of changes")
 	})
 }
+
+// TestSourceUnknownVersion guards against a version that no store has, which another
+// node shows, and that makes a node read the store again and again.
+func TestSourceUnknownVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(fakeStore)
+		f.version.Store(1)
+		s, applied := startSource(t, f, false)
+		time.Sleep(time.Second)
+		s.hear(99)
+		time.Sleep(30 * time.Second)
+		require.LessOrEqual(t, f.calls.Load(), int64(6))
+		require.Equal(t, []mesh.Version{1}, *applied)
+	})
+}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -63,7 +63,7 @@
 	// of this node, if External is set.
 	OnVersion func(mesh.Version)
 	// Merge is the mean time between two reads of the node rows by one of the
-	// readers of an availability zone, which finds nodes that joined apart from
+	// watchers of the mesh, which finds nodes that joined apart from
 	// this one. Without it rows are read only by a node that lost others.
 	Merge time.Duration
 	// Shutdown bounds the wait for requests in flight at the end of Run; 5 s if 0.
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -147,10 +147,9 @@
 	return jitter(p.cfg.Merge)
 }
 
-// readsRows reports whether this node reads the node rows for its availability
-// zone.
+// readsRows reports whether this node reads the node rows for the others.
 func (p *Peer) readsRows() bool {
-	return p.cfg.Merge > 0 && p.Reader()
+	return p.cfg.Merge > 0 && p.Watcher()
 }
 
 // untilSync returns the time to the next exchange, about wait. A node that is
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -187,11 +187,9 @@
 	p.send(out)
 }
 
-// Reader reports whether this node is one of those that read the platform for their
-// availability zone.
-func (p *Peer) Reader() bool {
-	return version.IsReader(p.cfg.Self.ID, p.cfg.Self.Zone, p.members())
-}
+// Watcher reports whether this node is one of the few that look for versions and
+// members which the others may have missed.
+func (p *Peer) Watcher() bool { return version.IsWatcher(p.cfg.Self.ID, p.members()) }
 
 // Joined reports whether another node is known.
 func (p *Peer) Joined() bool {
