Serve from a node whose store turns it away, and from one that stops

A node without a configuration, or with an older one, asks other nodes while the store does not answer. Members that died or left lately are probed each 2 s, and a node answers a stranger by asking for its view. The gate of a stopping node yields: it is chosen if no other endpoint is left, and takes what ends before the stop. A backend server is announced once there is a configuration. Each has a test that fails without it: TestSourceFromPeers, TestRestartWithoutPlatform, TestYieldingEndpoint, TestYield.

--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -60,6 +60,8 @@
 		return member.Draining
 	case e.lapsed, e.failed:
 		return member.Unhealthy
+	case !g.until.IsZero() && e.announced == member.Ready:
+		return member.Yielding
 	}
 	return e.announced
 }
@@ -111,6 +113,7 @@
 	switch is {
 	case member.Ready:
 		g.machine.Restart(now)
+	case member.Yielding:
 	default:
 		g.drainLocked(now)
 	}
--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -300,3 +300,25 @@
 	g.refuse(httptest.NewRecorder(), &call{mayHaveRun: true}, fault.New(fault.Overloaded, "full"))
 	require.Contains(t, g.figures.registry.ByReason("invariant_broken").String(), "gate_false_not_run")
 }
+
+// TestYield guards against a stopping node that refuses all requests while its
+// backend server is the last one of a service, and against one that takes a request
+// which it cannot see to its end.
+func TestYield(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	states := make(chan member.EndpointState, 10)
+	r := newRig(t, s.Listener.Addr().String(), func(c *Config) {
+		c.OnEndpoint = func(_ mesh.Service, _ int, state member.EndpointState) { states <- state }
+	})
+	require.Equal(t, member.Ready, <-states)
+	r.Yield(time.Now().Add(2 * time.Second))
+	require.Equal(t, member.Yielding, <-states, "others are preferred")
+	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Second)).status)
+	send(t, r.request(t, http.MethodPost, "", time.Minute)).requireRefusal(t, fault.Draining, fault.NotRun)
+	require.Equal(t, http.StatusOK, r.announce(t, announcement(s.Listener.Addr().String())).Code)
+	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Second)).status)
+	require.NoError(t, r.Drain(t.Context()))
+	require.Equal(t, member.Draining, <-states)
+	send(t, r.request(t, http.MethodPost, "", time.Second)).requireRefusal(t, fault.Draining, fault.NotRun)
+}
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -104,6 +104,7 @@
 	snapshot *config.Snapshot // whose rank policies the machine has
 	endpoint backendServer
 	stopping bool          // Drain was called
+	until    time.Time     // Yield was called: requests must end by then
 	idle     chan struct{} // closed when nothing is in flight and draining
 
 	notifier notifier
@@ -139,6 +140,16 @@
 	}
 }
 
+// Yield makes other nodes prefer other endpoints: the endpoint yields, and
+// only requests whose deadline is before until are taken. It is called before
+// Drain by a node that stops while its backend server goes on.
+func (g *Gate) Yield(until time.Time) {
+	g.mu.Lock()
+	g.until = until
+	g.mu.Unlock()
+	g.notifyEndpoint()
+}
+
 // Drain refuses new and queued requests as draining and waits until none is in
 // flight or ctx ends. A drained gate stays so.
 func (g *Gate) Drain(ctx context.Context) error {
--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -16,6 +16,9 @@
 	relays = 3
 	// deadPeriod is the time between two probes of dead members.
 	deadPeriod = 10 * time.Second
+	// probeLeft is the time for which members that left are probed like dead ones:
+	// most of them start again at their address.
+	probeLeft = 30 * time.Second
 	// keepDead is the time for which dead members are remembered and probed.
 	keepDead = 10 * time.Minute
 	// keepLeft is the time for which members that left are remembered. It
@@ -64,6 +67,8 @@
 	Rand *rand.Rand
 	// Budget is the space for updates in one datagram in bytes; 0 means 1,200.
 	Budget int
+	// DeadPeriod is the time between two probes of dead members; 10 s if 0.
+	DeadPeriod time.Duration
 	// Size returns the encoded size of an update in bytes; nil means an upper
 	// estimate.
 	Size func(Update) int
@@ -73,6 +78,9 @@
 	if c.Budget == 0 {
 		c.Budget = defaultBudget
 	}
+	if c.DeadPeriod <= 0 {
+		c.DeadPeriod = deadPeriod
+	}
 	if c.Size == nil {
 		c.Size = estimate
 	}
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -68,7 +68,7 @@
 		relay:     make(map[uint64]relayed),
 		queue:     make(queue),
 		nextProbe: now.Add(time.Duration(c.Rand.Int64N(int64(probePeriod)))),
-		nextDead:  now.Add(deadPeriod),
+		nextDead:  now.Add(c.DeadPeriod),
 	}
 	l.announce(now)
 	return l
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -39,6 +39,7 @@
 	Ready
 	Draining
 	Unhealthy
+	Yielding // ready, but its node is about to stop
 )
 
 // String returns the lower-case name of s.
@@ -54,6 +55,8 @@
 		return "draining"
 	case Unhealthy:
 		return "unhealthy"
+	case Yielding:
+		return "yielding"
 	}
 	return "invalid"
 }
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -205,8 +205,10 @@
 // probeDead probes one dead member. A member that is back learns from the
 // probe that it was declared dead and refutes it.
 func (l *List) probeDead(now time.Time) []Datagram {
-	l.nextDead = now.Add(deadPeriod)
-	ids := l.sorted(func(r *record) bool { return r.Status == Dead })
+	l.nextDead = now.Add(l.cfg.DeadPeriod)
+	ids := l.sorted(func(r *record) bool {
+		return r.Status == Dead || r.Status == Left && now.Sub(r.since) < probeLeft
+	})
 	if len(ids) == 0 {
 		return nil
 	}
--- a/internal/core/route/endpoint.go
+++ b/internal/core/route/endpoint.go
@@ -13,6 +13,7 @@
 const (
 	closed   class = iota // no endpoint, starting, draining or left: never chosen
 	healthy               // alive and ready
+	yielding              // its node is about to stop: chosen if no other is left
 	doubtful              // suspect, dead or unhealthy: last known, tried cautiously
 )
 
@@ -27,6 +28,11 @@
 			return healthy
 		}
 		return doubtful
+	case member.Yielding:
+		if m.Status == member.Alive {
+			return yielding
+		}
+		return doubtful
 	case member.Unhealthy:
 		return doubtful
 	}
@@ -108,6 +114,8 @@
 		return "draining"
 	case e.class == doubtful:
 		return "cautious"
+	case e.class == yielding:
+		return "yielding"
 	case now.Before(e.ejectedUntil):
 		return "ejected"
 	case e.probing:
--- a/internal/core/route/load_test.go
+++ b/internal/core/route/load_test.go
@@ -75,3 +75,24 @@
 	n.Reach = Own
 	require.Nil(t, p.PickFor("s", n, []*Endpoint{e}, now))
 }
+
+// TestYieldingEndpoint guards against requests that are refused although an endpoint
+// whose node is about to stop still takes them, and against its choice before others.
+func TestYieldingEndpoint(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := byTimePicker(now)
+	ms := []member.Member{
+		{ID: "slow", Zone: "a", Addr: "10.0.0.1:1", Service: "s", Slots: 10, Endpoint: member.Yielding},
+		{ID: "fast", Zone: "b", Addr: "10.0.0.2:1", Service: "s", Slots: 10, Endpoint: member.Ready},
+	}
+	p.Update(ms, now)
+	n := Need{"r", 500 * time.Millisecond, Anywhere}
+	for range 5 {
+		require.Equal(t, mesh.NodeID("fast"), p.PickFor("s", n, nil, now).ID)
+	}
+	ms[1].Endpoint = member.Draining
+	p.Update(ms, now)
+	for range 5 {
+		require.Equal(t, mesh.NodeID("slow"), p.PickFor("s", n, nil, now).ID)
+	}
+}
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -43,8 +43,9 @@
 	local    []*Endpoint // open, in the zone of this node
 	remote   []*Endpoint // open, in other zones
 	doubtful []*Endpoint
-	mass     bool      // more than half of the endpoints are doubtful
-	rebuild  time.Time // next end of an ejection or of a drain; zero if none
+	yielding []*Endpoint // taken if no open one is left
+	mass     bool        // more than half of the endpoints are doubtful
+	rebuild  time.Time   // next end of an ejection or of a drain; zero if none
 }
 
 // NewPicker returns a Picker without endpoints.
@@ -110,6 +111,7 @@
 // sort divides the endpoints into the lists that Pick draws from.
 func (s *service) sort(zone mesh.AvailabilityZone, now time.Time) {
 	s.local, s.remote, s.doubtful = s.local[:0], s.remote[:0], s.doubtful[:0]
+	s.yielding = s.yielding[:0]
 	s.rebuild = time.Time{}
 	healthyCount := 0
 	for _, e := range s.all {
@@ -119,6 +121,10 @@
 		if s.hold(e.drainedUntil, now) {
 			continue
 		}
+		if e.class == yielding {
+			s.yielding = append(s.yielding, e)
+			continue
+		}
 		if e.class == doubtful {
 			s.doubtful = append(s.doubtful, e)
 			continue
@@ -166,6 +172,9 @@
 		svc.sort(p.zone, now)
 	}
 	e := p.choose(svc, n, tried, now)
+	if e == nil {
+		e = p.better(svc.yielding, n.Rank, tried, now)
+	}
 	if svc.mass && (e == nil || e.pressed(n.Rank, now)) {
 		if d := p.cautious(svc.doubtful, tried, e == nil, now); d != nil {
 			e = d
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -45,6 +45,10 @@
 	// drained by then; a connection that never carried a request would be waited
 	// for beyond the grace time.
 	peerShutdown = 100 * time.Millisecond
+	// deadPeriod is the time between two probes by a node of one that is gone, so
+	// that one which is back at its address is known again within about 2 s even
+	// if the store turns it away.
+	deadPeriod = 2 * time.Second
 	// hopDialTimeout bounds a connection attempt to another node of the region.
 	hopDialTimeout = 300 * time.Millisecond
 	// hopIdle is the time for which an unused connection to a gate is kept.
@@ -70,8 +74,9 @@
 	idle     idleListener
 	recheck  chan struct{} // the backend server may be another instance
 
-	mu       sync.Mutex // guards instance
+	mu       sync.Mutex // guards the fields below
 	instance instance
+	awaiting func() error // announces the backend server once there is a configuration
 
 	listeners map[string]net.Listener
 	packet    net.PacketConn
@@ -94,7 +99,7 @@
 		return nil, err
 	}
 	n.store = platform.NewStore(set.Store, callTimeout, n.metrics.ByReason("store_calls").Add)
-	n.source = newSource(n.store, set.Rollout, func() bool { return n.peer.Watcher() }, n.apply, n.log)
+	n.source = newSource(n.fromPeers, n.store, set.Rollout, func() bool { return n.peer.Watcher() }, n.apply, n.log)
 	n.gate = n.newGate()
 	if n.peer, err = n.newPeer(); err != nil {
 		n.close()
@@ -118,6 +123,14 @@
 	n.caller.Apply(c.Snapshot)
 	n.peer.SetVersion(c.Snapshot.Version)
 	n.shareBudget(n.peer.Members())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if f := n.awaiting; f != nil {
+		n.awaiting = nil
+		if err := f(); err != nil {
+			n.log.Error("backend server cannot be announced", zap.Error(err))
+		}
+	}
 }
 
 func (n *Node) newGate() *backend.Gate {
@@ -152,17 +165,18 @@
 func (n *Node) newPeer() (*peer.Peer, error) {
 	set := n.set.Load()
 	p, err := peer.New(peer.Config{
-		Self:      member.Member{ID: set.ID, Zone: set.Zone, Addr: mesh.Addr(set.Peer)},
-		Key:       meshKey(set),
-		Listener:  n.listeners["peer"],
-		Packet:    n.packet,
-		Gate:      n.gate.Hop(),
-		Platform:  peer.Source{Nodes: n.store.Nodes},
-		External:  true,
-		OnVersion: n.source.hear,
-		Merge:     mergePeriod,
-		JoinLimit: joinLimit,
-		Shutdown:  peerShutdown,
+		Self:       member.Member{ID: set.ID, Zone: set.Zone, Addr: mesh.Addr(set.Peer)},
+		Key:        meshKey(set),
+		Listener:   n.listeners["peer"],
+		Packet:     n.packet,
+		Gate:       n.peerHandler(),
+		Platform:   peer.Source{Nodes: n.store.Nodes},
+		External:   true,
+		OnVersion:  n.source.hear,
+		Merge:      mergePeriod,
+		DeadPeriod: deadPeriod,
+		JoinLimit:  joinLimit,
+		Shutdown:   peerShutdown,
 		OnMembers: func(ms []member.Member) {
 			n.caller.SetMembers(ms)
 			n.shareBudget(ms)
@@ -229,8 +243,14 @@
 	return n.announce(b.Instance, b.Slots, b.Draining)
 }
 
-// announce passes the state of the backend server to the gate.
+// announce passes the state of the backend server to the gate. Without a
+// configuration the gate could admit nothing, so the announcement waits for one.
+// The lock must be held.
 func (n *Node) announce(id mesh.Instance, slots int, draining bool) error {
+	if n.config.Load() == nil {
+		n.awaiting = func() error { return n.announce(id, slots, draining) }
+		return nil
+	}
 	set := n.set.Load()
 	state := member.Ready
 	if draining {
@@ -251,6 +271,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.instance.leave(id, born) {
+		n.awaiting = nil
 		n.gate.Withdraw()
 		n.log.Info("backend server left", zap.String("instance", string(id)))
 	}
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -42,9 +42,10 @@
 type source struct {
 	read    func(context.Context) (*platform.Config, platform.Position, error)
 	watch   func(ctx context.Context, after platform.Position, d time.Duration) (*platform.Config, platform.Position, error)
-	apply   func(*platform.Config) // called with rising versions
-	rollout time.Duration          // within which a version must be in force
-	watcher func() bool            // whether this node looks for what the others may have missed
+	peers   func(context.Context) (*platform.Config, error) // what other nodes hold
+	apply   func(*platform.Config)                          // called with rising versions
+	rollout time.Duration                                   // within which a version must be in force
+	watcher func() bool                                     // whether this node looks for what the others may have missed
 	log     *zap.Logger
 
 	version atomic.Uint64
@@ -53,9 +54,9 @@
 	lost    bool          // the last call failed
 }
 
-func newSource(s *platform.Store, rollout time.Duration, watcher func() bool, apply func(*platform.Config), log *zap.Logger) *source {
+func newSource(peers func(context.Context) (*platform.Config, error), s *platform.Store, rollout time.Duration, watcher func() bool, apply func(*platform.Config), log *zap.Logger) *source {
 	return &source{
-		read: s.ReadConfig, watch: s.WatchConfig, apply: apply,
+		peers: peers, read: s.ReadConfig, watch: s.WatchConfig, apply: apply,
 		rollout: rollout, watcher: watcher, log: log, hint: make(chan struct{}, 1),
 	}
 }
@@ -89,6 +90,9 @@
 			err = s.follow(ctx, pos)
 		}
 		s.failed(ctx, err)
+		if err != nil {
+			s.ask(ctx)
+		}
 		if wait.For(ctx, backoff(failures)) != nil {
 			return nil
 		}
@@ -97,6 +101,20 @@
 	return nil
 }
 
+// ask takes the configuration of another node while the store does not answer, if
+// this node has none or an older one.
+func (s *source) ask(ctx context.Context) {
+	if s.version.Load() > 0 && !s.behind() {
+		return
+	}
+	c, err := s.peers(ctx)
+	if err != nil {
+		s.log.Info("other nodes gave no configuration", zap.Error(err))
+		return
+	}
+	s.take(c, nil)
+}
+
 // backoff returns the jittered wait after n failures in a row.
 func backoff(n int) time.Duration {
 	d := min(firstBackoff<<min(n, 8), lastBackoff)
--- a/internal/hosted/source_test.go
+++ b/internal/hosted/source_test.go
@@ -21,8 +21,9 @@
 // fakeStore holds a configuration in memory.
 type fakeStore struct {
 	version atomic.Uint64
-	silent  atomic.Bool // watches do not answer
-	down    atomic.Bool // calls fail
+	silent  atomic.Bool   // watches do not answer
+	down    atomic.Bool   // calls fail
+	shared  atomic.Uint64 // version that other nodes hold, 0 if they give none
 	calls   atomic.Int64
 }
 
@@ -35,6 +36,14 @@
 	return &platform.Config{Snapshot: &config.Snapshot{Version: mesh.Version(v)}}, platform.Position(v), nil
 }
 
+func (f *fakeStore) peers(context.Context) (*platform.Config, error) {
+	v := f.shared.Load()
+	if v == 0 {
+		return nil, errNoShare
+	}
+	return &platform.Config{Snapshot: &config.Snapshot{Version: mesh.Version(v)}}, nil
+}
+
 func (f *fakeStore) read(context.Context) (*platform.Config, platform.Position, error) {
 	return f.config()
 }
@@ -59,7 +68,7 @@
 func startSource(t *testing.T, f *fakeStore, watcher bool) (*source, *[]mesh.Version) {
 	var applied []mesh.Version
 	s := &source{
-		read: f.read, watch: f.watch, rollout: testRollout, log: zap.NewNop(),
+		peers: f.peers, read: f.read, watch: f.watch, rollout: testRollout, log: zap.NewNop(),
 		watcher: func() bool { return watcher }, hint: make(chan struct{}, 1),
 		apply: func(c *platform.Config) { applied = append(applied, c.Snapshot.Version) },
 	}
@@ -149,3 +158,23 @@
 		require.Equal(t, []mesh.Version{1}, *applied)
 	})
 }
+
+// TestSourceFromPeers guards against a node that refuses every request because it
+// started while the store turns it away, although other nodes hold a configuration,
+// and against one that goes on with an old version then.
+func TestSourceFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(fakeStore)
+		f.down.Store(true)
+		s, applied := startSource(t, f, false)
+		time.Sleep(5 * time.Second)
+		require.Empty(t, *applied)
+		f.shared.Store(4)
+		time.Sleep(testRollout)
+		require.Equal(t, []mesh.Version{4}, *applied)
+		f.shared.Store(6)
+		s.hear(6)
+		time.Sleep(testRollout)
+		require.Equal(t, []mesh.Version{4, 6}, *applied)
+	})
+}
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -15,7 +15,8 @@
 	// moveTime is the time in which callers notice that the node is not ready
 	// and move to other nodes: two checks, one second apart, and some slack.
 	moveTime = 2500 * time.Millisecond
-	// gateTime is the time for which the gate goes on taking requests.
+	// gateTime is the time for which the gate goes on taking requests like any
+	// other.
 	gateTime = 1200 * time.Millisecond
 	// restartTime is the time after which a refused caller may find the node
 	// again: the end of what is in flight and a start of the process.
@@ -37,17 +38,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), set.Grace-stopSlack)
 	defer cancel()
 	n.caller.CloseKept()
-	moved := make(chan error, 1)
-	go func() {
-		// The backend server may go on running, so its capacity is used until
-		// the requests in flight need the rest of the time.
-		if err := wait.For(ctx, min(gateTime, set.Grace/4)); err != nil {
-			moved <- err
-			return
-		}
-		moved <- n.gate.Drain(ctx)
-	}()
-	errs := []error{wait.For(ctx, min(moveTime, set.Grace/2)), n.caller.Finish(ctx, restartTime), <-moved}
+	end, _ := ctx.Deadline()
+	move, gate := min(moveTime, set.Grace/2), min(gateTime, set.Grace/4)
+	errs := []error{wait.For(ctx, gate)}
+	// The backend server may go on running. Its capacity is used while callers
+	// move and their last requests end, by requests that end in time.
+	n.gate.Yield(end)
+	errs = append(errs, wait.For(ctx, move-gate), n.caller.Finish(ctx, restartTime), n.gate.Drain(ctx))
 	if err := errors.Join(errs...); err != nil {
 		n.metrics.InvariantBroken("stop_interrupted")
 		n.log.Error("requests in flight outlast the grace time and are interrupted", zap.Error(err))
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -66,6 +66,9 @@
 	// watchers of the mesh, which finds nodes that joined apart from
 	// this one. Without it rows are read only by a node that lost others.
 	Merge time.Duration
+	// DeadPeriod is the time between two probes of members that are dead or left
+	// lately; 10 s if 0.
+	DeadPeriod time.Duration
 	// Shutdown bounds the wait for requests in flight at the end of Run; 5 s if 0.
 	Shutdown time.Duration
 	// JoinLimit bounds the wait between two attempts to join; 15 s if 0.
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -49,8 +49,18 @@
 		if joined {
 			break
 		}
-		if wait.For(ctx, backoff(n, joinBase, p.cfg.JoinLimit)) != nil {
+		t := time.NewTimer(backoff(n, joinBase, p.cfg.JoinLimit))
+		select {
+		case <-ctx.Done():
+			t.Stop()
 			return nil
+		case a := <-p.strangers:
+			joined = p.syncAny(ctx, []mesh.Addr{a}) == synced
+		case <-t.C:
+		}
+		t.Stop()
+		if joined {
+			break
 		}
 	}
 	return p.keepSynced(ctx)
@@ -123,6 +133,8 @@
 			return nil
 		case <-p.syncs:
 			p.syncOne(ctx)
+		case a := <-p.strangers:
+			p.syncAny(ctx, []mesh.Addr{a})
 		case <-routine.C:
 			p.syncOne(ctx)
 			wait = member.SyncAfter(wait)
--- a/internal/peer/merge_test.go
+++ b/internal/peer/merge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -65,3 +66,50 @@
 	eventually(t, 10*time.Second, know(6), "all know each other")
 	require.Less(t, time.Since(apart), 5*time.Second)
 }
+
+// TestRestartWithoutPlatform guards against a node that starts again while the
+// platform turns it away and finds nobody, although the others remember its address.
+func TestRestartWithoutPlatform(t *testing.T) {
+	for name, left := range map[string]bool{"killed": false, "left": true} {
+		t.Run(name, func(t *testing.T) {
+			rows := new(rowTable)
+			hosted := func(c *Config, _ *lossy) {
+				c.External, c.Merge, c.JoinLimit, c.DeadPeriod = true, time.Second, 100*time.Millisecond, 500*time.Millisecond
+				c.Platform = Source{Nodes: rows.nodes}
+			}
+			var ps []*testPeer
+			for i := range 3 {
+				p := start(t, i, nil, hosted)
+				rows.put(p.cfg.Self.Addr)
+				ps = append(ps, p)
+			}
+			know := func(ps ...*testPeer) func() bool {
+				return func() bool {
+					for _, p := range ps {
+						if alive(p) != 3 {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			eventually(t, 10*time.Second, know(ps...), "all know each other")
+			if left {
+				require.NoError(t, ps[2].Leave(t.Context()))
+			}
+			require.NoError(t, ps[2].stop())
+			again := start(t, 2, nil, func(c *Config, _ *lossy) {
+				require.NoError(t, c.Listener.Close())
+				require.NoError(t, c.Packet.Close())
+				l, err := net.Listen("tcp", string(ps[2].cfg.Self.Addr))
+				require.NoError(t, err)
+				u, err := net.ListenPacket("udp", string(ps[2].cfg.Self.Addr))
+				require.NoError(t, err)
+				c.Listener, c.Packet, c.Self.Addr = l, u, ps[2].cfg.Self.Addr
+				c.External, c.JoinLimit = true, 100*time.Millisecond
+				c.Platform = Source{} // does not answer
+			})
+			eventually(t, 10*time.Second, know(ps[0], ps[1], again), "the node is back")
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,10 +53,11 @@
 
 	ledger quota.Ledger // of the rates that this node owns
 
-	hints   chan hint     // peers that show a higher version
-	spreads chan spread   // versions to push
-	heads   chan struct{} // read the platform's head now
-	syncs   chan struct{} // exchange views with a member now
+	hints     chan hint      // peers that show a higher version
+	spreads   chan spread    // versions to push
+	heads     chan struct{}  // read the platform's head now
+	strangers chan mesh.Addr // nodes that are not known and sent a datagram
+	syncs     chan struct{}  // exchange views with a member now
 
 	syncSlot  chan struct{}
 	attempted chan struct{} // closed after the first attempt to join
@@ -87,14 +88,16 @@
 		spreads:   make(chan spread, queueLength),
 		heads:     make(chan struct{}, 1),
 		syncs:     make(chan struct{}, 1),
+		strangers: make(chan mesh.Addr, 1),
 		syncSlot:  make(chan struct{}, maxSyncs),
 		attempted: make(chan struct{}),
 	}
 	p.list = member.New(member.Config{
-		Self:   c.Self,
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Budget: updateBudget,
-		Size:   sizeOf,
+		Self:       c.Self,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Budget:     updateBudget,
+		DeadPeriod: c.DeadPeriod,
+		Size:       sizeOf,
 	}, time.Now())
 	p.client = p.newClient()
 	p.gauges()
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -58,6 +58,14 @@
 	if changed {
 		signal(p.moved)
 	}
+	if !known {
+		// A node that starts while the platform does not answer learns of the
+		// others by those that remember its address.
+		select {
+		case p.strangers <- from:
+		default: // one is asked already
+		}
+	}
 	if known {
 		p.seen(now, sender, m.Version)
 	}
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -16,6 +16,8 @@
 	DepthHeader = "Lavenderrill-Depth"
 	// PressureHeader carries the pressure of a gate per rank.
 	PressureHeader = "Lavenderrill-Pressure"
+	// WantHeader asks a node for something of its own in place of its gate.
+	WantHeader = "Lavenderrill-Want"
 	// TargetHeader carries the time in milliseconds that is left for an answer of
 	// full worth, 0 if it has passed.
 	TargetHeader = "Lavenderrill-Target"
