Cut the watches of the store stand-in when it goes away

Cause: TestHostedPath failed once (store_outage: 503 in place of 404): a watch that waited when the outage began went on and brought the version, which other nodes then handed on.

--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -276,13 +276,13 @@
 
 	t.Run("store outage", func(t *testing.T) {
 		require.NoError(t, h.store.SetFaults(inject.Faults{Outage: inject.Reset}))
-		h.store.Forget() // ends the watches that were open
-		time.Sleep(100 * time.Millisecond)
+		h.store.Cut()
 		h.put(5, "look", "book", "late")
 		for range 20 {
 			require.Equal(t, 200, c.ask("GET", "/look/x").status)
 		}
 		require.Equal(t, 404, c.ask("GET", "/late/x").status)
+		h.store.Forget()
 		require.NoError(t, h.store.SetFaults(inject.Faults{}))
 		for _, n := range h.nodes {
 			h.within(hostedRollout, func() bool { return n.ask("GET", "/late/x").status == 503 }, "route of the outage")
