Do not end while a request still waits at a gate

A stopping node tells gates by when its requests must have left the queue, and no request waits at a gate for more than 0.75 of the grace time, since the node that sent it may be told to stop at any moment. TestStartAndLongest fails without it.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -193,6 +193,9 @@
 	if ms, err := strconv.ParseInt(h.Get(mesh.TargetHeader), 10, 64); err == nil {
 		c.Target = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
+	if ms, err := strconv.ParseInt(h.Get(mesh.StartHeader), 10, 64); err == nil {
+		c.Start = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
 	return c, nil
 }
 
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -102,6 +102,10 @@
 	if left, ok := c.targetLeft(q, a.started); ok {
 		h[mesh.TargetHeader] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	}
+	if by := c.stopBy.Load(); by != nil {
+		left := max(by.Add(-startSlack).Sub(a.started), 0)
+		h[mesh.StartHeader] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	}
 	for i, k := range hopHeaderNames {
 		h[k] = vs[i : i+1 : i+1]
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -127,9 +127,10 @@
 	tableMu sync.Mutex // held while a table is built
 
 	draining atomic.Bool
-	closing  atomic.Int64 // time.Duration after which to come back, once Finish was called
-	active   atomic.Int64 // requests in flight
-	conns    atomic.Int64 // open connections of callers
+	stopBy   atomic.Pointer[time.Time] // end of the process, once CloseKept was called
+	closing  atomic.Int64              // time.Duration after which to come back, once Finish was called
+	active   atomic.Int64              // requests in flight
+	conns    atomic.Int64              // open connections of callers
 }
 
 // New returns a Caller for cfg. It has no endpoints until SetMembers is called.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -21,7 +21,10 @@
 	drainPoll   = 10 * time.Millisecond
 	// closeTime bounds the wait for requests that were read just before Finish
 	// closes the listener, and for connections that never carry one.
-	closeTime    = 250 * time.Millisecond
+	closeTime = 250 * time.Millisecond
+	// startSlack is the time before the end of the process at which a request must
+	// have left the queue of its gate, so that a refusal still reaches its caller.
+	startSlack   = 300 * time.Millisecond
 	drainLogName = "caller drained"
 )
 
@@ -68,8 +71,12 @@
 }
 
 // CloseKept tells callers with each response to close their connection. Requests
-// go on being served.
-func (c *Caller) CloseKept() { c.draining.Store(true) }
+// go on being served; no gate holds one of them waiting until shortly before by, so
+// that what is unanswered then is at work at a backend server.
+func (c *Caller) CloseKept(by time.Time) {
+	c.stopBy.Store(&by)
+	c.draining.Store(true)
+}
 
 func (c *Caller) handle(w http.ResponseWriter, r *http.Request) {
 	c.active.Add(1)
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -50,6 +50,9 @@
 	// that cannot, and estimates waits from the time in which slots come free.
 	Timely bool
 
+	// Longest is the longest wait in a queue of a Timely machine; 0 is no limit.
+	Longest time.Duration
+
 	// Assumed is the share of the target of a rank that its service time is taken
 	// to be before the first samples; 0 assumes 10 ms. A gate that starts with too
 	// short a time takes in more than can be answered in time.
@@ -63,6 +66,7 @@
 	reserve  bool
 	assumed  float64
 	timely   bool
+	longest  time.Duration
 	maxQueue int
 	ranks    []*rank // most urgent first
 	byName   map[mesh.Rank]*rank
@@ -83,7 +87,7 @@
 	if c.Ramp == 0 {
 		c.Ramp = defaultRamp
 	}
-	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, assumed: c.Assumed, timely: c.Timely, maxQueue: c.Queue, others: -bulkMemory}
+	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, assumed: c.Assumed, timely: c.Timely, longest: c.Longest, maxQueue: c.Queue, others: -bulkMemory}
 	m.limiter = limiter{fixed: c.Fixed, ramp: c.Ramp}
 	m.limiter.setSlots(c.Slots)
 	m.SetRanks(now, c.Ranks)
@@ -304,10 +308,13 @@
 	for len(m.expiry) > 0 && m.expiry[0].until <= at {
 		t := m.expiry[0]
 		m.unqueue(t)
-		if t.deadline > at {
-			m.refuse(t, errPassed)
-		} else {
+		switch {
+		case t.deadline <= at:
 			m.refuse(t, errExpired)
+		case t.late:
+			m.refuse(t, errPassed)
+		default:
+			m.refuse(t, errLate)
 		}
 	}
 	limit := m.limiter.limit(at)
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -39,6 +39,7 @@
 	Account  mesh.ClientAccount
 	Deadline time.Time // latest useful time of the answer; zero means none
 	Target   time.Time // latest time of an answer of full worth; zero means the target of the rank from Offer on
+	Start    time.Time // latest time of an admission; zero means none but the deadline
 	Data     any       // for the caller's use
 
 	state    State
--- a/internal/core/admit/timely.go
+++ b/internal/core/admit/timely.go
@@ -42,12 +42,22 @@
 		t.refuse(errWait)
 		return
 	}
+	if m.longest > 0 {
+		t.until = min(t.until, at+m.longest)
+	}
+	if !t.Start.IsZero() {
+		t.until = min(t.until, m.at(t.Start))
+	}
+	if wait > t.until-at {
+		t.refuse(errWait)
+		return
+	}
 	if t.passed(at) {
 		if float64(r.behind.n) >= lateShare*float64(m.limiter.limit(at)) {
 			t.refuse(errPassed)
 			return
 		}
-		t.late, t.until = true, min(t.deadline, at+lateWait)
+		t.late, t.until = true, min(t.until, at+lateWait)
 		m.push(at, t)
 		return
 	}
--- a/internal/core/admit/timely_test.go
+++ b/internal/core/admit/timely_test.go
@@ -109,3 +109,26 @@
 	require.Equal(t, Queued, k.State())
 	require.Equal(t, []*Ticket{k}, m.Done(now.Add(time.Millisecond), busy[0], 0))
 }
+
+// TestStartAndLongest guards against a request that still waits at a gate when the
+// node that sent it ends: its caller would get no answer.
+func TestStartAndLongest(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := timelyConfig()
+	c.Slots, c.Longest = 1, 4*time.Second
+	c.Ranks = []config.RankPolicy{{Name: "history", Target: 30 * time.Second}}
+	m := New(c, now)
+	ask := func(start time.Time) *Ticket {
+		k := &Ticket{Rank: "history", Deadline: now.Add(time.Minute), Start: start}
+		m.Offer(now, k)
+		return k
+	}
+	ask(time.Time{})
+	waits, stops := ask(time.Time{}), ask(now.Add(2*time.Second))
+	require.Equal(t, Queued, waits.State())
+	require.Equal(t, Queued, stops.State())
+	require.Equal(t, []*Ticket{stops}, m.Tick(now.Add(2*time.Second)))
+	require.Equal(t, []*Ticket{waits}, m.Tick(now.Add(4*time.Second)))
+	require.Equal(t, Refused, waits.State())
+	require.Same(t, errWait, ask(now).Refusal(), "no time to start")
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -35,6 +35,10 @@
 	// assumedService is the share of a route's target that its work is assumed to
 	// take until the gate has seen some.
 	assumedService = 1.0 / 3
+	// queueShare is the share of the grace time that a request waits at a gate at
+	// most. The node that sent it may be told to stop right after, and must not end
+	// while the request still waits.
+	queueShare = 0.75
 	// joinLimit bounds the wait between two attempts to join.
 	joinLimit = time.Second
 	// mergePeriod is the mean time between two reads of the node rows by each of
@@ -143,9 +147,10 @@
 		Dialect:    backend.Dialect{Request: platform.Request, Response: n.response},
 		Lease:      leaseHeartbeats * set.Heartbeat,
 		MaxBody:    -1, // the caller listener applies the limit
-		Admission:  admit.Config{Fixed: true, Ramp: -1, Reserve: true, Timely: true, Assumed: assumedService},
-		Metrics:    n.metrics,
-		Log:        n.log,
+		Admission: admit.Config{Fixed: true, Ramp: -1, Reserve: true, Timely: true, Assumed: assumedService,
+			Longest: time.Duration(queueShare * float64(set.Grace))},
+		Metrics: n.metrics,
+		Log:     n.log,
 	})
 }
 
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -37,8 +37,8 @@
 	n.log.Info("node stops", zap.Duration("grace", set.Grace))
 	ctx, cancel := context.WithTimeout(context.Background(), set.Grace-stopSlack)
 	defer cancel()
-	n.caller.CloseKept()
 	end, _ := ctx.Deadline()
+	n.caller.CloseKept(end)
 	move, gate := min(moveTime, set.Grace/2), min(gateTime, set.Grace/4)
 	errs := []error{wait.For(ctx, gate)}
 	// The backend server may go on running. Its capacity is used while callers
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -18,6 +18,9 @@
 	PressureHeader = "Lavenderrill-Pressure"
 	// WantHeader asks a node for something of its own in place of its gate.
 	WantHeader = "Lavenderrill-Want"
+	// StartHeader carries the time in milliseconds within which a request must be
+	// passed to the backend server, because the node that sent it stops.
+	StartHeader = "Lavenderrill-Start"
 	// TargetHeader carries the time in milliseconds that is left for an answer of
 	// full worth, 0 if it has passed.
 	TargetHeader = "Lavenderrill-Target"
