Mend what probing the operator commands and the caller listener found

A deadline of 0 is refused as not run, since nothing was sent. HEAD is allowed wherever GET is. Messages no longer repeat their kind. validate, plan and accept take directories. TestDoubleSlash shows that a path with double slashes reaches the backend server as it came; it passed before the change, too.

--- a/cmd/lavenderrill/main_test.go
+++ b/cmd/lavenderrill/main_test.go
@@ -21,6 +21,8 @@
 	require.NoError(t, os.WriteFile(bad, []byte("account: solo\ntemplate: none\n"), 0o600))
 	t.Setenv("LAVENDERRILL_TOKEN", "")
 	require.Zero(t, execute(append([]string{"validate"}, files...)))
+	require.Zero(t, execute([]string{"validate", "../../examples/lending-office"}), "a directory")
+	require.Equal(t, fault.ExitRefused, execute([]string{"validate", t.TempDir()}), "an empty directory")
 	require.Equal(t, fault.ExitRefused, execute([]string{"validate", bad}))
 	require.Equal(t, fault.ExitUsage, execute([]string{"validate"}))
 	require.Equal(t, fault.ExitUsage, execute([]string{"no-such-command"}))
--- a/cmd/lavenderrill/operator.go
+++ b/cmd/lavenderrill/operator.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/user"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -93,7 +94,7 @@
 
 func validateCommand(app *kingpin.Application) command {
 	c := app.Command("validate", "Checks files as one complete configuration, without a node.")
-	files := c.Arg("file", "YAML files with documents.").Required().ExistingFiles()
+	files := c.Arg("file", "YAML files with documents.").Required().ExistingFilesOrDirs()
 	return command{c, func(context.Context) error {
 		return validateFiles(*files, os.Stdout)
 	}}
@@ -120,6 +121,10 @@
 	var m config.Manifest
 	var errs []error
 	parts := map[mesh.Digest]config.Part{}
+	files, err := expand(files)
+	if err != nil {
+		return m, parts, err
+	}
 	for _, name := range files {
 		ds, err := readDocuments(name)
 		if err != nil {
@@ -134,6 +139,31 @@
 	return m, parts, errors.Join(errs...)
 }
 
+// expand replaces each directory among names by the YAML files in it.
+func expand(names []string) ([]string, error) {
+	var out []string
+	for _, name := range names {
+		if s, err := os.Stat(name); err != nil || !s.IsDir() {
+			out = append(out, name) // what is no file fails when it is read
+			continue
+		}
+		es, err := os.ReadDir(name)
+		if err != nil {
+			return nil, fault.Newf(fault.InvalidConfig, "read directory: %w", err)
+		}
+		before := len(out)
+		for _, e := range es {
+			if x := filepath.Ext(e.Name()); !e.IsDir() && (x == ".yaml" || x == ".yml") {
+				out = append(out, filepath.Join(name, e.Name()))
+			}
+		}
+		if len(out) == before {
+			return nil, fault.Newf(fault.InvalidConfig, "%s: directory holds no .yaml or .yml file", name)
+		}
+	}
+	return out, nil
+}
+
 func readDocuments(name string) ([]config.Document, error) {
 	f, err := os.Open(name)
 	if err != nil {
@@ -150,7 +180,7 @@
 }
 
 func (e *edit) args(c *kingpin.CmdClause) {
-	c.Arg("file", "YAML files with documents; - reads standard input.").StringsVar(&e.files)
+	c.Arg("file", "YAML files with documents, or directories of them; - reads standard input.").StringsVar(&e.files)
 	c.Flag("remove", "Document to remove, such as account/NAME; may be repeated.").StringsVar(&e.remove)
 }
 
@@ -160,7 +190,11 @@
 
 func (e *edit) read(stdin io.Reader) (client.Edit, error) {
 	out := client.Edit{Bases: map[config.DocumentKey]mesh.Revision{}}
-	for _, name := range e.files {
+	files, err := expand(e.files)
+	if err != nil {
+		return out, err
+	}
+	for _, name := range files {
 		b, err := readFile(name, stdin)
 		if err != nil {
 			return out, fault.Newf(fault.InvalidConfig, "read documents: %w", err)
--- /dev/null
+++ b/internal/caller/arrival_test.go
@@ -0,0 +1,60 @@
+package caller
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// TestPassedOnArrival guards against a request whose deadline is 0 and that is
+// refused as one that may have run.
+func TestPassedOnArrival(t *testing.T) {
+	g := newGate(t, "e1", echo)
+	a := newBench(t, g).do(http.MethodPost, "/book", "", mesh.DeadlineHeader, "0")
+	require.Equal(t, fault.DeadlineExceeded, a.kind())
+	require.Equal(t, fault.NotRun, a.run())
+	require.Zero(t, g.hits.Load())
+}
+
+// TestDoubleSlash guards against a redirect to a cleaned path in place of the answer
+// to the path that was sent.
+func TestDoubleSlash(t *testing.T) {
+	path := make(chan string, 1)
+	g := newGate(t, "e1", func(_ http.ResponseWriter, r *http.Request) { path <- r.URL.Path })
+	require.Equal(t, http.StatusOK, newBench(t, g).do(http.MethodGet, "//read//x", "").code)
+	require.Equal(t, "//read//x", <-path)
+}
+
+// TestHead guards against a HEAD that is refused where GET is allowed.
+func TestHead(t *testing.T) {
+	b := newBench(t, newGate(t, "e1", echo))
+	s := testSnapshot()
+	s.Version++
+	s.Routes = append(s.Routes, config.Route{Name: "get", Account: "acc", Host: "h.example", Path: "/get", Methods: []string{"GET"}, Service: "s", Rank: "urgent", Deadline: s.Routes[0].Deadline, Idempotent: true, Retry: config.RetryPolicy{Attempts: 1}})
+	b.Apply(s)
+	require.Equal(t, http.StatusOK, b.do(http.MethodHead, "/get", "").code)
+	require.Equal(t, fault.MethodNotAllowed, b.do(http.MethodPost, "/get", "").kind())
+}
+
+// TestServiceOf guards against shares of a route that are not kept.
+func TestServiceOf(t *testing.T) {
+	b := newBench(t)
+	s := testSnapshot()
+	s.Version++
+	s.Routes[0].Split = []config.Share{{Service: "s", Weight: 3}, {Service: "none", Weight: 0}, {Service: "other", Weight: 1}}
+	b.Apply(s)
+	r := b.currentTable().Match(http.MethodPost, "h.example", "/book").Route
+	var got []mesh.Service
+	for i := range 4 {
+		got = append(got, serviceOf(r, func(n int) int {
+			require.Equal(t, 4, n)
+			return i
+		}))
+	}
+	require.Equal(t, []mesh.Service{"s", "s", "s", "other"}, got)
+}
--- a/internal/caller/steps.go
+++ b/internal/caller/steps.go
@@ -44,6 +44,9 @@
 	if d := q.arrived.Add(limit); q.deadline.IsZero() || d.Before(q.deadline) {
 		q.deadline = d
 	}
+	if !q.deadline.After(q.arrived) {
+		return ctx, fault.New(fault.DeadlineExceeded, "deadline had passed on arrival")
+	}
 	q.ctx, q.cancel = context.WithDeadline(ctx, q.deadline.Add(gateGrace))
 	return q.ctx, nil
 }
--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -51,8 +52,15 @@
 	return &c
 }
 
-// Error implements error.
-func (e *Error) Error() string { return string(e.Kind) + ": " + e.Reason }
+// Error implements error. The kind is not repeated if the reason, which may be that
+// of a wrapped error, begins with it.
+func (e *Error) Error() string {
+	prefix := string(e.Kind) + ": "
+	if strings.HasPrefix(e.Reason, prefix) {
+		return e.Reason
+	}
+	return prefix + e.Reason
+}
 
 // Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
--- a/internal/core/fault/fault_test.go
+++ b/internal/core/fault/fault_test.go
@@ -32,3 +32,10 @@
 	require.Equal(t, Internal, From(errors.New("x")).Kind)
 	require.Nil(t, From(nil))
 }
+
+// TestKindOnce guards against messages that repeat their kind for each wrapped error.
+func TestKindOnce(t *testing.T) {
+	inner := New(InvalidConfig, "a.yaml: no such template")
+	require.Equal(t, "invalid_config: a.yaml: no such template", Newf(InvalidConfig, "%w", inner).Error())
+	require.Equal(t, "settings: invalid_config: a.yaml: no such template", Newf(Settings, "%w", inner).Error())
+}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 
@@ -137,9 +138,11 @@
 	}
 }
 
+// choose returns the first route that allows the method. HEAD is allowed wherever
+// GET is, as RFC 9110 section 9.1 expects.
 func choose(rs []*Route, method string) Result {
 	for _, r := range rs {
-		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) || method == http.MethodHead && slices.Contains(r.Methods, http.MethodGet) {
 			return Result{Route: r}
 		}
 	}
