Give a configuration time to arrive over a busy link

The wait for the begin of an answer is bounded by 1 s apart from its body, a read by 4 s in all, and a hint waits for 0.2 of the rollout bound.

--- a/cmd/lavenderrill/hosted.go
+++ b/cmd/lavenderrill/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -33,7 +34,9 @@
 		stop, written := background(w.Run)
 		defer func() {
 			stop()
-			<-written // an error means that nobody reads the log
+			if err := <-written; err != nil {
+				fmt.Fprintf(os.Stderr, "lavenderrill: write log: %v\n", err)
+			}
 		}()
 		path := os.Getenv(platform.SettingsEnv)
 		if path == "" {
--- a/cmd/lavenderrill/trace.go
+++ b/cmd/lavenderrill/trace.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return fmt.Errorf("open log: %w", err)
 		}
-		defer f.Close()
+		defer func() { _ = f.Close() }()
 		logs = append(logs, f)
 	}
 	lines, err := logging.Trace(id, around, logs...)
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -24,12 +24,15 @@
 	watcherShare = 0.5
 	// watchGrace is the wait for the end of a watch beyond its time.
 	watchGrace = 400 * time.Millisecond
-	// callTimeout bounds a call of the store that does not wait. The store
-	// answers in milliseconds; a slow one has been seen to take 0.3 s.
+	// callTimeout bounds the wait for the answer of a call that does not watch.
+	// The store answers in milliseconds; a slow one has been seen to take 0.3 s.
 	callTimeout = time.Second
-	// hintDelay is the time in which the watch may bring a version that another
-	// node already holds, before the store is read for it.
-	hintDelay = 250 * time.Millisecond
+	// readTimeout bounds a whole read. A configuration of 1,100 routes took more
+	// than 1 s over a link that was full of downloads.
+	readTimeout = 4 * time.Second
+	// hintShare is the share of the rollout bound in which the watch may bring a
+	// version that another node already holds, before the store is read for it.
+	hintShare = 0.2
 	// firstBackoff and lastBackoff bound the wait after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = time.Second
@@ -122,7 +125,7 @@
 }
 
 func (s *source) readOnce(ctx context.Context) (platform.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	c, pos, err := s.read(ctx)
 	if err == nil || pos > 0 {
@@ -195,7 +198,7 @@
 			return a.c, a.pos, a.err
 		case <-s.hint:
 			if late == nil && s.behind() {
-				late = time.After(hintDelay)
+				late = time.After(time.Duration(hintShare * float64(s.rollout)))
 			}
 		case <-check.C:
 			// A node that becomes a watcher ends its long watch.
--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -73,7 +73,7 @@
 	var err error
 	n.server, err = standin.NewServer(n.at(5), fmt.Sprintf("i-%d", i), service, 5*time.Millisecond)
 	require.NoError(h.t, err)
-	h.t.Cleanup(func() { n.server.Close() })
+	h.t.Cleanup(func() { require.NoError(h.t, n.server.Close()) })
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
