Name the table client by its protocol and share how parts run

internal/platform, which speaks the DynamoDB and S3 protocols, is internal/dynamo now; platform/ is the adapter to the users' platform. Both kinds of node run their parts and small servers by internal/task, in place of two copies.

--- a/internal/platform/call.go
+++ b/internal/dynamo/call.go
@@ -1,4 +1,4 @@
-package platform
+package dynamo
 
 import (
 	"context"
--- a/internal/platform/doc.go
+++ b/internal/dynamo/doc.go
@@ -1,4 +1,4 @@
-// Package platform speaks to the platform: the transactional table, over the
+// Package dynamo speaks to the platform of a node that keeps its own configuration: the transactional table, over the
 // DynamoDB protocol, and the object store, over the S3 protocol.
 //
 // The package decides what a failed request means. An operation that certainly
@@ -6,4 +6,4 @@
 // effect is resolved by reading, or fails with fault.OutcomeUnknown. Requests
 // are limited by token buckets per client, so that a node cannot overload the
 // platform.
-package platform
+package dynamo
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,6 +21,7 @@
 	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/internal/peer"
 	"lavenderrill.dev/lavenderrill/internal/settings"
+	"lavenderrill.dev/lavenderrill/internal/task"
 	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -57,6 +57,8 @@
 	hopDialTimeout = 300 * time.Millisecond
 	// hopIdle is the time for which an unused connection to a gate is kept.
 	hopIdle = 30 * time.Second
+	// listenerFinish is the time in which calls of the small listeners may end.
+	listenerFinish = 50 * time.Millisecond
 	// headerTimeout bounds the header of a request to the small listeners.
 	headerTimeout = 5 * time.Second
 )
@@ -352,6 +354,7 @@
 		cancel()
 		if err == nil {
 			n.log.Info("node registered", zap.String("peer", set.Peer))
+			<-ctx.Done()
 			return nil
 		}
 		if i == 0 {
@@ -379,65 +382,27 @@
 	n.caller.SetRetryBudget(retryShare(n.set.Load().Retry, alive, len(s.Ranks)))
 }
 
-// part is one long-running part of a node.
-type part struct {
-	name string
-	run  func(context.Context) error
-}
-
-// Run serves until ctx is done, then stops gracefully. It returns the first
-// error of a part.
+// Run serves until ctx is done, then stops gracefully. It returns the errors of its
+// parts.
 func (n *Node) Run(ctx context.Context) error {
-	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	type end struct {
-		name string
-		err  error
-	}
-	parts := n.parts()
-	ends := make(chan end)
-	for _, p := range parts {
-		go func() { ends <- end{p.name, p.run(inner)} }()
-	}
 	set := n.set.Load()
 	n.log.Info("node started", zap.String("zone", string(set.Zone)), zap.String("service", string(set.Service)),
 		zap.String("caller", set.Caller), zap.String("peer", set.Peer), zap.String("store", string(set.Store)))
-	var errs []error
-	running := len(parts)
-	for stop := false; !stop; {
-		select {
-		case <-ctx.Done():
-			errs = append(errs, n.stop())
-			stop = true
-		case e := <-ends:
-			running--
-			if e.err != nil {
-				errs = append(errs, fmt.Errorf("%s ended: %w", e.name, e.err))
-				stop = true
-			}
-		}
-	}
-	cancel()
-	for ; running > 0; running-- {
-		if e := <-ends; e.err != nil {
-			errs = append(errs, fmt.Errorf("%s: %w", e.name, e.err))
-		}
-	}
-	err := errors.Join(errs...)
+	err := task.Run(ctx, n.parts(), n.stop)
 	n.log.Info("node stopped", zap.Error(err))
 	return err
 }
 
-func (n *Node) parts() []part {
-	ps := []part{
-		{"peer", n.peer.Run},
-		{"gate", n.gate.Run},
-		{"caller", n.caller.Run},
-		{"caller listener", func(context.Context) error { return served(n.caller.Server().Serve(&n.idle)) }},
-		{"configuration", n.source.run},
-		{"registration", n.register},
-		{"backend search", n.findBackend},
-		{"settings", n.watchSettings},
+func (n *Node) parts() []task.Part {
+	ps := []task.Part{
+		{Name: "peer", Run: n.peer.Run},
+		{Name: "gate", Run: n.gate.Run},
+		{Name: "caller", Run: n.caller.Run},
+		{Name: "caller listener", Run: func(context.Context) error { return task.Served(n.caller.Server().Serve(&n.idle)) }},
+		{Name: "configuration", Run: n.source.run},
+		{Name: "registration", Run: n.register},
+		{Name: "backend search", Run: n.findBackend},
+		{Name: "settings", Run: n.watchSettings},
 	}
 	for name, h := range map[string]http.Handler{
 		"announce": platform.Heartbeats(n.beat, n.gone),
@@ -449,26 +414,9 @@
 			continue
 		}
 		srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
-		ps = append(ps, part{name + " listener", func(ctx context.Context) error { return serve(ctx, srv, l) }})
+		ps = append(ps, task.Part{Name: name + " listener", Run: func(ctx context.Context) error {
+			return task.Serve(ctx, srv, l, listenerFinish)
+		}})
 	}
 	return ps
 }
-
-func serve(ctx context.Context, s *http.Server, l net.Listener) error {
-	done := make(chan error, 1)
-	go func() { done <- served(s.Serve(l)) }()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
-	return errors.Join(s.Close(), <-done)
-}
-
-// served returns nil for the error of a server that was told to stop.
-func served(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,11 +14,12 @@
 	"lavenderrill.dev/lavenderrill/internal/backend"
 	"lavenderrill.dev/lavenderrill/internal/caller"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/dynamo"
 	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/internal/operator"
 	"lavenderrill.dev/lavenderrill/internal/peer"
-	"lavenderrill.dev/lavenderrill/internal/platform"
 	"lavenderrill.dev/lavenderrill/internal/settings"
+	"lavenderrill.dev/lavenderrill/internal/task"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -39,7 +39,7 @@
 	log      *zap.Logger
 	metrics  *metric.Registry
 	sockets  *listeners
-	platform *platform.Client
+	platform *dynamo.Client
 	peer     *peer.Peer
 	gate     *backend.Gate
 	caller   *caller.Caller
@@ -81,7 +81,7 @@
 func (n *Node) Ready() bool { return n.peer.Ready() && !n.stopping.Load() }
 
 func (n *Node) build() error {
-	n.platform = platform.New(platform.Config{
+	n.platform = dynamo.New(dynamo.Config{
 		Table:     n.set.Table,
 		Bucket:    n.set.Bucket,
 		Region:    n.set.Region,
@@ -160,68 +160,30 @@
 	return mesh.Addr(n.sockets.peer.Addr().String())
 }
 
-// part is one long-running part of a node.
-type part struct {
-	name string
-	run  func(context.Context) error
-}
-
-// end is how a part ended.
-type end struct {
-	name string
-	err  error
-}
-
 // Run serves until ctx is done, then stops gracefully: requests in flight are
 // finished within the drain time. It returns the first error of a part.
 func (n *Node) Run(ctx context.Context) error {
-	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	parts := n.parts()
-	ends := make(chan end)
-	for _, p := range parts {
-		go func() { ends <- end{p.name, p.run(inner)} }()
-	}
 	n.log.Info("node started", zap.Any("listen", n.Addrs()), zap.String("zone", n.set.Zone))
-	running := len(parts)
-	var errs []error
-	select {
-	case <-ctx.Done():
-		errs = append(errs, n.stop())
-	case e := <-ends:
-		running--
-		errs = append(errs, fmt.Errorf("%s ended: %w", e.name, orUnexpected(e.err)))
-	}
-	cancel()
-	for range running {
-		if e := <-ends; e.err != nil {
-			errs = append(errs, fmt.Errorf("%s: %w", e.name, e.err))
-		}
-	}
-	n.log.Info("node stopped", zap.Error(errors.Join(errs...)))
-	return errors.Join(errs...)
-}
-
-var errUnexpected = errors.New("ended without an error")
-
-func orUnexpected(err error) error {
-	if err == nil {
-		return errUnexpected
-	}
+	err := task.Run(ctx, n.parts(), n.stop)
+	n.log.Info("node stopped", zap.Error(err))
 	return err
 }
 
-func (n *Node) parts() []part {
+func (n *Node) parts() []task.Part {
 	backendServer := newServer(n.gate.Announcements())
 	operatorServer := newServer(n.operator.Handler())
-	return []part{
-		{"peer", n.peer.Run},
-		{"gate", n.gate.Run},
-		{"caller", n.caller.Run},
-		{"caller listener", func(context.Context) error { return served(n.caller.Server().Serve(n.sockets.caller)) }},
-		{"backend listener", func(ctx context.Context) error { return serve(ctx, backendServer, n.sockets.backend) }},
-		{"operator listener", func(ctx context.Context) error { return serve(ctx, operatorServer, n.sockets.operator) }},
-		{"registration", n.register},
+	return []task.Part{
+		{Name: "peer", Run: n.peer.Run},
+		{Name: "gate", Run: n.gate.Run},
+		{Name: "caller", Run: n.caller.Run},
+		{Name: "caller listener", Run: func(context.Context) error { return task.Served(n.caller.Server().Serve(n.sockets.caller)) }},
+		{Name: "backend listener", Run: func(ctx context.Context) error {
+			return task.Serve(ctx, backendServer, n.sockets.backend, leaveTimeout)
+		}},
+		{Name: "operator listener", Run: func(ctx context.Context) error {
+			return task.Serve(ctx, operatorServer, n.sockets.operator, leaveTimeout)
+		}},
+		{Name: "registration", Run: n.register},
 	}
 }
 
@@ -255,26 +217,3 @@
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
 }
-
-// serve serves l until ctx is done and lets calls in flight finish.
-func serve(ctx context.Context, s *http.Server, l net.Listener) error {
-	done := make(chan error)
-	go func() { done <- served(s.Serve(l)) }()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
-	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
-	defer cancel()
-	err := s.Shutdown(shutdown)
-	return errors.Join(err, <-done)
-}
-
-// served returns nil for the error of a server that was told to stop.
-func served(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -9,8 +9,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"go.uber.org/zap"
 
+	"lavenderrill.dev/lavenderrill/internal/dynamo"
 	"lavenderrill.dev/lavenderrill/internal/peer"
-	"lavenderrill.dev/lavenderrill/internal/platform"
 	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
@@ -99,7 +99,7 @@
 }
 
 func (n *Node) writeRow(ctx context.Context) error {
-	row := platform.NodeRow{ID: n.id, Addr: n.advertised(), Zone: mesh.AvailabilityZone(n.set.Zone)}
+	row := dynamo.NodeRow{ID: n.id, Addr: n.advertised(), Zone: mesh.AvailabilityZone(n.set.Zone)}
 	err := n.platform.WriteNode(ctx, row)
 	if !noTable(err) {
 		return err
--- a/internal/operator/accept.go
+++ b/internal/operator/accept.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
-	"lavenderrill.dev/lavenderrill/internal/platform"
+	"lavenderrill.dev/lavenderrill/internal/dynamo"
 	"lavenderrill.dev/lavenderrill/pkg/client"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -71,10 +71,10 @@
 	if err := s.repeatBases(ctx, r, cs); err != nil {
 		return client.Accepted{}, err
 	}
-	ch := platform.Change{ID: r.Change, Operator: r.Operator}
+	ch := dynamo.Change{ID: r.Change, Operator: r.Operator}
 	var parts []config.Part
 	for _, x := range cs {
-		ch.Edits = append(ch.Edits, platform.Edit{Key: x.key, Base: x.base, Part: x.part})
+		ch.Edits = append(ch.Edits, dynamo.Edit{Key: x.key, Base: x.base, Part: x.part})
 		if x.part != nil {
 			parts = append(parts, x.part)
 		}
@@ -202,7 +202,7 @@
 
 // publish spreads version h. It is accepted whether or not that succeeds: the
 // readers of each availability zone find it at the platform.
-func (s *Server) publish(ctx context.Context, h platform.Head, k *checker) {
+func (s *Server) publish(ctx context.Context, h dynamo.Head, k *checker) {
 	m := k.last
 	if m.Digest() != h.Digest {
 		var err error
@@ -227,7 +227,7 @@
 // withValues adds the current content and that of the edit to a conflict, so
 // that the operator sees both.
 func (s *Server) withValues(ctx context.Context, err error, cs []change) error {
-	var conflict *platform.ConflictError
+	var conflict *dynamo.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -16,8 +16,8 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/dynamo"
 	"lavenderrill.dev/lavenderrill/internal/metric"
-	"lavenderrill.dev/lavenderrill/internal/platform"
 	"lavenderrill.dev/lavenderrill/internal/standin/object"
 	"lavenderrill.dev/lavenderrill/internal/standin/table"
 	"lavenderrill.dev/lavenderrill/pkg/client"
@@ -60,7 +60,7 @@
 	t.Cleanup(tables.Close)
 	objects := httptest.NewServer(object.New(object.Config{}))
 	t.Cleanup(objects.Close)
-	p := platform.New(platform.Config{
+	p := dynamo.New(dynamo.Config{
 		Table: "t", Bucket: "b", TableURL: tables.URL, ObjectURL: objects.URL,
 		AccessKey: "a", SecretKey: "s", Reads: 1000, Writes: 1000, Burst: 1000,
 	})
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -11,8 +11,8 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/dynamo"
 	"lavenderrill.dev/lavenderrill/internal/metric"
-	"lavenderrill.dev/lavenderrill/internal/platform"
 	"lavenderrill.dev/lavenderrill/pkg/client"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -25,7 +25,7 @@
 type Config struct {
 	ID       mesh.NodeID
 	Token    string
-	Platform *platform.Client
+	Platform *dynamo.Client
 
 	Content func() Content                                                            // what the node serves
 	Publish func(context.Context, mesh.Version, config.Manifest, []config.Part) error // spreads a committed version
