--- a/internal/hosted/source_test.go
+++ b/internal/hosted/source_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -64,13 +66,19 @@
 	return f.config()
 }
 
-// startSource runs a source until the test ends.
-func startSource(t *testing.T, f *fakeStore, watcher bool) (*source, *[]mesh.Version) {
+// startSource runs a source until the test ends. The function returns the versions
+// that it applied.
+func startSource(t *testing.T, f *fakeStore, watcher bool) (*source, func() []mesh.Version) {
+	var mu sync.Mutex
 	var applied []mesh.Version
 	s := &source{
 		peers: f.peers, read: f.read, watch: f.watch, rollout: testRollout, log: zap.NewNop(),
 		watcher: func() bool { return watcher }, hint: make(chan struct{}, 1),
-		apply: func(c *platform.Config) { applied = append(applied, c.Snapshot.Version) },
+		apply: func(c *platform.Config) {
+			mu.Lock()
+			defer mu.Unlock()
+			applied = append(applied, c.Snapshot.Version)
+		},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -79,7 +87,11 @@
 		cancel()
 		require.NoError(t, <-ended)
 	})
-	return s, &applied
+	return s, func() []mesh.Version {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(applied)
+	}
 }
 
 // TestSourceSilentWatch guards against a configuration that is not in force because
@@ -100,7 +112,7 @@
 					s.hear(5)
 				}
 				time.Sleep(testRollout)
-				require.Equal(t, []mesh.Version{1, 5}, *applied)
+				require.Equal(t, []mesh.Version{1, 5}, applied())
 			})
 		})
 	}
@@ -121,7 +133,7 @@
 		f.down.Store(false)
 		f.version.Store(9)
 		time.Sleep(testRollout)
-		require.Equal(t, []mesh.Version{7, 9}, *applied)
+		require.Equal(t, []mesh.Version{7, 9}, applied())
 	})
 }
 
@@ -155,7 +167,7 @@
 		s.hear(99)
 		time.Sleep(30 * time.Second)
 		require.LessOrEqual(t, f.calls.Load(), int64(6))
-		require.Equal(t, []mesh.Version{1}, *applied)
+		require.Equal(t, []mesh.Version{1}, applied())
 	})
 }
 
@@ -168,13 +180,13 @@
 		f.down.Store(true)
 		s, applied := startSource(t, f, false)
 		time.Sleep(5 * time.Second)
-		require.Empty(t, *applied)
+		require.Empty(t, applied())
 		f.shared.Store(4)
 		time.Sleep(testRollout)
-		require.Equal(t, []mesh.Version{4}, *applied)
+		require.Equal(t, []mesh.Version{4}, applied())
 		f.shared.Store(6)
 		s.hear(6)
 		time.Sleep(testRollout)
-		require.Equal(t, []mesh.Version{4, 6}, *applied)
+		require.Equal(t, []mesh.Version{4, 6}, applied())
 	})
 }
