Read the store once for a version that it does not have

Found by removing guards from the tests: TestSourceUnknownVersion passed without the line it was to guard, since it showed the version once and its watch did not end with its context. Shown with every probe, as nodes do, a version that the store does not have made a node read the store again and again, and a hint was forgotten if the watch brought an older version first.

What was shown before a read that did not bring it is refuted and not waited for; a watch begins with the hint that is still open. TestSourceUnknownVersion, made strict, and TestSourceSilentAfterOlder fail without the change.

--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -53,6 +53,7 @@
 
 	version atomic.Uint64
 	heard   atomic.Uint64 // highest version that another node showed
+	refuted atomic.Uint64 // highest such version that the store turned out not to have
 	hint    chan struct{} // heard has grown
 	lost    bool          // the last call failed
 }
@@ -81,8 +82,10 @@
 	}
 }
 
-// behind reports whether another node holds a higher version.
-func (s *source) behind() bool { return s.heard.Load() > s.version.Load() }
+// behind reports whether another node holds a higher version that the store may have.
+func (s *source) behind() bool {
+	return s.heard.Load() > max(s.version.Load(), s.refuted.Load())
+}
 
 // run reads the configuration and watches for changes until ctx ends.
 func (s *source) run(ctx context.Context) error {
@@ -127,12 +130,14 @@
 func (s *source) readOnce(ctx context.Context) (platform.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	heard := s.heard.Load()
 	c, pos, err := s.read(ctx)
 	if err == nil || pos > 0 {
 		s.reached()
 		s.take(c, err)
-		// What the store does not have is not waited for, whoever shows it.
-		s.heard.Store(s.version.Load())
+		// What was shown before the store was read, and the store does not have, is
+		// not waited for.
+		s.refuted.Store(heard)
 		return pos, nil
 	}
 	return 0, err
@@ -189,7 +194,11 @@
 		c, next, err := s.watch(ctx, pos, longest)
 		done <- answer{c, next, err}
 	}()
+	hintWait := time.Duration(hintShare * float64(s.rollout))
 	var late <-chan time.Time
+	if s.behind() { // the watch before brought an older version than the one shown
+		late = time.After(hintWait)
+	}
 	check := time.NewTicker(watchGrace)
 	defer check.Stop()
 	for {
@@ -198,7 +207,7 @@
 			return a.c, a.pos, a.err
 		case <-s.hint:
 			if late == nil && s.behind() {
-				late = time.After(time.Duration(hintShare * float64(s.rollout)))
+				late = time.After(hintWait)
 			}
 		case <-check.C:
 			// A node that becomes a watcher ends its long watch.
--- a/internal/hosted/source_test.go
+++ b/internal/hosted/source_test.go
@@ -56,10 +56,10 @@
 		return nil, 0, ctx.Err()
 	}
 	end := time.Now().Add(d)
-	for time.Now().Before(end) && f.version.Load() <= uint64(after) && !f.silent.Load() {
+	for time.Now().Before(end) && f.version.Load() <= uint64(after) && !f.silent.Load() && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	if f.silent.Load() {
+	if f.silent.Load() || ctx.Err() != nil {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
@@ -164,8 +164,10 @@
 		f.version.Store(1)
 		s, applied := startSource(t, f, false)
 		time.Sleep(time.Second)
-		s.hear(99)
-		time.Sleep(30 * time.Second)
+		for range 60 {
+			s.hear(99) // repeated with every probe
+			time.Sleep(500 * time.Millisecond)
+		}
 		require.LessOrEqual(t, f.calls.Load(), int64(6))
 		require.Equal(t, []mesh.Version{1}, applied())
 	})
@@ -190,3 +192,22 @@
 		require.Equal(t, []mesh.Version{4, 6}, applied())
 	})
 }
+
+// TestSourceSilentAfterOlder guards against a hint that is forgotten because the watch
+// brought an older version than the one that was shown, and then fell silent.
+func TestSourceSilentAfterOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(fakeStore)
+		f.version.Store(1)
+		s, applied := startSource(t, f, false)
+		time.Sleep(3 * time.Second)
+		s.hear(5)
+		time.Sleep(50 * time.Millisecond)
+		f.version.Store(3)
+		time.Sleep(50 * time.Millisecond)
+		f.silent.Store(true)
+		f.version.Store(5)
+		time.Sleep(testRollout)
+		require.Equal(t, []mesh.Version{1, 3, 5}, applied())
+	})
+}
