Let nodes follow a watcher of their zone in place of the store

One watcher of each availability zone, three of the mesh at least, follows the store. Other nodes wait for the next version at the watcher of their zone. It answers only while the store answers it, and at once when that ends; a node whose watcher falls silent or has lost the store reads the store itself and turns to another watcher.

TestSourceCalls counted four calls a minute for a node that is no watcher and nine for 5 s of changes: it allows one in all now. TestSourceSilentWatch plays a mute watcher besides.

Also: every route of a configuration without client accounts counted as a broken invariant (TestResourcesWithoutAccounts).

--- a/internal/caller/apply_test.go
+++ b/internal/caller/apply_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/pkg/config"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
 // TestTableFollowsSnapshot guards against requests that are routed by the former
@@ -38,3 +40,24 @@
 	c.Apply(first)
 	require.EqualValues(t, 2, c.currentTable().Snapshot().Version, "a lower version is not applied")
 }
+
+// TestResourcesWithoutAccounts guards against an alarm for every route of a
+// configuration that knows no client accounts, and against none for a route that leads
+// to a service which is not there.
+func TestResourcesWithoutAccounts(t *testing.T) {
+	s := &config.Snapshot{
+		Version: 1, Literal: true,
+		Services: map[mesh.Service]config.ServicePolicy{"seats": {Name: "seats"}},
+		Ranks:    []config.RankPolicy{{Name: "urgent"}},
+		Routes:   []config.Route{{Name: "a", Path: "/a/", Service: "seats", Rank: "urgent"}},
+	}
+	m := metric.New()
+	c := New(Config{ID: "n0", Snapshot: func() *config.Snapshot { return s }, Metrics: m})
+	c.Apply(s)
+	broken := func() string { return m.ByReason("invariant_broken").String() }
+	require.Equal(t, "{}", broken())
+	bad := *s
+	bad.Version, bad.Routes = 2, []config.Route{{Name: "b", Path: "/b/", Service: "none", Rank: "urgent"}}
+	c.Apply(&bad)
+	require.Equal(t, `{"route_resource": 1}`, broken())
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -201,14 +201,15 @@
 }
 
 // checkResources counts routes of s that lead to a service, rank or client
-// account that s does not have. Compilation refuses such routes.
+// account that s does not have. Compilation refuses such routes. A configuration
+// without accounts has routes of none.
 func (c *Caller) checkResources(s *config.Snapshot) {
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		_, service := s.Services[r.Service]
 		_, rank := s.RankIndex(r.Rank)
 		_, account := slices.BinarySearch(s.Accounts, r.Account)
-		if !service || !rank || !account {
+		if !service || !rank || !account && (r.Account != "" || len(s.Accounts) > 0) {
 			c.cfg.Metrics.InvariantBroken("route_resource")
 		}
 	}
--- a/internal/core/version/state_test.go
+++ b/internal/core/version/state_test.go
@@ -246,3 +246,35 @@
 		Children(1, ms[0].ID, ms)
 	}
 }
+
+// TestWatchers guards against availability zones without a watcher, and against
+// watchers whose number grows with the nodes.
+func TestWatchers(t *testing.T) {
+	for _, zones := range []int{1, 2, 3, 4, 16} {
+		var ms []member.Member
+		for i := range 20 * zones {
+			m := member.Member{ID: mesh.NodeID(fmt.Sprint("n", i)), Zone: mesh.AvailabilityZone(fmt.Sprint("z", i%zones)), Status: member.Alive}
+			if i%10 == 3 {
+				m.Status = member.Dead
+			}
+			ms = append(ms, m)
+		}
+		ws := Watchers(ms)
+		require.Len(t, ws, max(zones, leastWatchers))
+		seen := make(map[mesh.AvailabilityZone]bool)
+		for _, w := range ws {
+			seen[w.Zone] = true
+			require.Equal(t, member.Alive, w.Status)
+			require.True(t, IsWatcher(w.ID, ms))
+		}
+		require.Len(t, seen, zones)
+		n := 0
+		for _, m := range ms {
+			if IsWatcher(m.ID, ms) {
+				n++
+			}
+		}
+		require.Equal(t, len(ws), n)
+		require.True(t, IsWatcher("alone", nil))
+	}
+}
--- a/internal/core/version/tree.go
+++ b/internal/core/version/tree.go
@@ -19,10 +19,10 @@
 	// with a new version pushes to. Two of them let a push reach the zone when
 	// one has just failed.
 	entries = 2
-	// watchers is the number of members of the whole mesh that look for what the
-	// others may have missed. The calls that they make do not grow with the mesh,
-	// and one that just failed leaves two.
-	watchers = 3
+	// leastWatchers is the least number of watchers of the whole mesh: one that
+	// just failed leaves two. The calls that watchers make grow with availability
+	// zones, not with nodes.
+	leastWatchers = 3
 	// readers is the number of members of an availability zone that read the
 	// platform.
 	readers = 2
@@ -106,17 +106,43 @@
 	return slices.ContainsFunc(o[:min(readers, len(o))], func(m member.Member) bool { return m.ID == id })
 }
 
-// IsWatcher reports whether the member of the given id is one of the few of the
-// whole mesh that look for versions and members which the others may have missed.
-func IsWatcher(id mesh.NodeID, ms []member.Member) bool {
+// Watchers returns the few members of the mesh that follow the platform for the
+// others: the alive one of greatest weight of each availability zone, and further ones
+// if there are fewer than three zones. They are sorted by zone, further ones last.
+func Watchers(ms []member.Member) []member.Member {
 	const seed = 0x7761746368657273
-	own, above := weight(seed, id), 0
+	ranked := make([]member.Member, 0, len(ms))
 	for i := range ms {
-		if m := &ms[i]; m.Status == member.Alive && m.ID != id && weight(seed, m.ID) > own {
-			above++
+		if ms[i].Status == member.Alive {
+			ranked = append(ranked, ms[i])
+		}
+	}
+	weights := make(map[mesh.NodeID]uint64, len(ranked))
+	for i := range ranked {
+		weights[ranked[i].ID] = weight(seed, ranked[i].ID)
+	}
+	slices.SortFunc(ranked, func(a, b member.Member) int {
+		return cmp.Or(cmp.Compare(weights[b.ID], weights[a.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	seen := make(map[mesh.AvailabilityZone]bool)
+	var out, rest []member.Member
+	for _, m := range ranked {
+		if seen[m.Zone] {
+			rest = append(rest, m)
+			continue
 		}
+		seen[m.Zone] = true
+		out = append(out, m)
 	}
-	return above < watchers
+	slices.SortFunc(out, func(a, b member.Member) int { return cmp.Compare(a.Zone, b.Zone) })
+	return append(out, rest[:min(len(rest), max(0, leastWatchers-len(out)))]...)
+}
+
+// IsWatcher reports whether the member of the given id is one of the watchers. A
+// member that is not in ms counts as one.
+func IsWatcher(id mesh.NodeID, ms []member.Member) bool {
+	self := func(m member.Member) bool { return m.ID == id }
+	return slices.ContainsFunc(Watchers(ms), self) || !slices.ContainsFunc(ms, self)
 }
 
 // keepers is the number of members that keep ledgers. Fewer would let a node
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -57,6 +57,8 @@
 	hopDialTimeout = 300 * time.Millisecond
 	// hopIdle is the time for which an unused connection to a gate is kept.
 	hopIdle = 30 * time.Second
+	// shareConnections is the most connections to one node for configurations.
+	shareConnections = 2
 	// listenerFinish is the time in which calls of the small listeners may end.
 	listenerFinish = 50 * time.Millisecond
 	// headerTimeout bounds the header of a request to the small listeners.
@@ -75,7 +77,11 @@
 	caller  *caller.Caller
 	peer    *peer.Peer
 
+	peers     *hop.Transport // requests for configurations
+	upstreams upstreams
+
 	config   atomic.Pointer[platform.Config]
+	held     atomic.Pointer[held] // config for other nodes
 	stopping atomic.Bool
 	idle     idleListener
 	recheck  chan struct{} // the backend server may be another instance
@@ -105,7 +111,13 @@
 		return nil, err
 	}
 	n.store = platform.NewStore(set.Store, callTimeout, n.metrics.ByReason("store_calls").Add)
-	n.source = newSource(n.fromPeers, n.store, set.Rollout, func() bool { return n.peer.Watcher() }, n.apply, n.log)
+	n.upstreams.self, n.upstreams.zone = set.ID, set.Zone
+	n.peers = hop.New(hop.Config{Connections: shareConnections, DialTimeout: hopDialTimeout, IdleTimeout: hopIdle})
+	n.source = newSource(sourceConfig{
+		read: n.store.ReadConfig, watch: n.store.WatchConfig, peers: n.fromPeers, upstream: n.fromWatcher,
+		apply: n.apply, rollout: set.Rollout, log: n.log,
+		watcher: func() bool { return !n.stopping.Load() && n.peer.Watcher() },
+	})
 	n.gate = n.newGate()
 	if n.peer, err = n.newPeer(); err != nil {
 		n.close()
@@ -125,6 +137,7 @@
 // apply puts c into force.
 func (n *Node) apply(c *platform.Config) {
 	n.config.Store(c)
+	n.held.Store(newHeld(c))
 	n.idle.limit.Store(int64(c.Limits.Idle))
 	n.caller.Apply(c.Snapshot)
 	n.peer.SetVersion(c.Snapshot.Version)
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -16,12 +17,13 @@
 )
 
 const (
-	// watchWait is the time after which the store ends a watch without a change.
-	watchWait = 25 * time.Second
-	// watcherShare is the share of the rollout bound after which the watch of a
-	// watcher ends. A connection can fall silent for good: watchers find out, and
-	// tell the others by the version that they show.
-	watcherShare = 0.5
+	// watchShare is the share of the rollout bound after which a watch of the store
+	// ends without a change. A connection can fall silent for good, and a node must
+	// notice in time to read the store.
+	watchShare = 0.4
+	// upstreamShare is the share of the rollout bound after which a watcher answers
+	// a node that follows it without a change.
+	upstreamShare = 0.4
 	// watchGrace is the wait for the end of a watch beyond its time.
 	watchGrace = 400 * time.Millisecond
 	// callTimeout bounds the wait for the answer of a call that does not watch.
@@ -36,33 +38,47 @@
 	// firstBackoff and lastBackoff bound the wait after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = time.Second
-	// watchShare is the share of the rollout bound that passes at least between
-	// two watches, so that a series of changes costs few calls.
-	watchShare = 0.55
+	// gapShare is the share of the rollout bound that passes at least between two
+	// versions taken from the store, so that a series of changes costs few calls and
+	// few decodings. A watcher whose connection falls silent in the gap finds out
+	// after the gap, a watch and its grace: that and a read of the store by the
+	// nodes that follow it must be within the bound.
+	gapShare = 0.25
 )
 
-// source keeps the node's configuration equal to the one in the store.
+// sourceConfig holds what a source is built from.
+type sourceConfig struct {
+	read  func(context.Context) (*platform.Config, platform.Position, error)
+	watch func(ctx context.Context, after platform.Position, d time.Duration) (*platform.Config, platform.Position, error)
+	peers func(context.Context) (*platform.Config, error) // what other nodes hold
+	// upstream asks a watcher for a version above the one held. The answer is nil if
+	// there was none within d, and errNoWatcher if there is no watcher to ask.
+	upstream func(ctx context.Context, held mesh.Version, d time.Duration) (*platform.Config, error)
+	apply    func(*platform.Config) // called with rising versions
+	rollout  time.Duration          // within which a version must be in force
+	watcher  func() bool            // whether this node follows the store for others
+	log      *zap.Logger
+}
+
+// source keeps the node's configuration equal to the one in the store. Watchers
+// follow the store; other nodes follow a watcher, so that calls to the store do not
+// grow with nodes. A node whose watcher does not answer, or has lost the store, reads
+// the store itself at once.
 type source struct {
-	read    func(context.Context) (*platform.Config, platform.Position, error)
-	watch   func(ctx context.Context, after platform.Position, d time.Duration) (*platform.Config, platform.Position, error)
-	peers   func(context.Context) (*platform.Config, error) // what other nodes hold
-	apply   func(*platform.Config)                          // called with rising versions
-	rollout time.Duration                                   // within which a version must be in force
-	watcher func() bool                                     // whether this node looks for what the others may have missed
-	log     *zap.Logger
+	sourceConfig
 
 	version atomic.Uint64
 	heard   atomic.Uint64 // highest version that another node showed
 	refuted atomic.Uint64 // highest such version that the store turned out not to have
 	hint    chan struct{} // heard has grown
 	lost    bool          // the last call failed
+	standing
 }
 
-func newSource(peers func(context.Context) (*platform.Config, error), s *platform.Store, rollout time.Duration, watcher func() bool, apply func(*platform.Config), log *zap.Logger) *source {
-	return &source{
-		peers: peers, read: s.ReadConfig, watch: s.WatchConfig, apply: apply,
-		rollout: rollout, watcher: watcher, log: log, hint: make(chan struct{}, 1),
-	}
+func newSource(c sourceConfig) *source {
+	s := &source{sourceConfig: c, hint: make(chan struct{}, 1)}
+	s.changed = make(chan struct{})
+	return s
 }
 
 // hear takes in that another node holds version v.
@@ -143,10 +159,10 @@
 	return 0, err
 }
 
-// follow watches from pos until a call fails or another node shows a version
-// that the watch did not bring: its connection may have fallen silent.
+// follow takes new versions as they come, until a call fails or another node shows a
+// version that the watch did not bring: its connection may have fallen silent.
 func (s *source) follow(ctx context.Context, pos platform.Position) error {
-	gap := time.Duration(watchShare * float64(s.rollout))
+	gap := time.Duration(gapShare * float64(s.rollout))
 	for {
 		start := time.Now()
 		c, next, err := s.watchOnce(ctx, pos)
@@ -154,8 +170,14 @@
 		case errors.Is(err, errHint):
 			s.log.Info("another node holds a newer configuration; the store is read again", zap.Uint64("version", s.version.Load()))
 			return nil
+		case errors.Is(err, errUpstream):
+			s.log.Info("no answer of a watcher; the store is read", zap.Uint64("version", s.version.Load()), zap.Error(err))
+			return nil
 		case err != nil && next == 0:
 			return err
+		case next == 0: // from a watcher
+			s.take(c, nil)
+			continue
 		}
 		s.reached()
 		s.take(c, err)
@@ -166,24 +188,37 @@
 	}
 }
 
+// next waits for the next version: at a watcher, or at the store if this node is one
+// or there is none to ask. The position is 0 if a watcher answered.
+func (s *source) next(ctx context.Context, pos platform.Position) (*platform.Config, platform.Position, error) {
+	if !s.watcher() {
+		c, err := s.upstream(ctx, mesh.Version(s.version.Load()), time.Duration(upstreamShare*float64(s.rollout)))
+		switch {
+		case err == nil:
+			return c, 0, nil
+		case !errors.Is(err, errNoWatcher):
+			return nil, 0, fmt.Errorf("%w: %w", errUpstream, err)
+		}
+	}
+	return s.watch(ctx, pos, s.longest())
+}
+
+// longest returns the time after which the store ends a watch.
+func (s *source) longest() time.Duration { return time.Duration(watchShare * float64(s.rollout)) }
+
 // The ends of a watch that is given up.
 var (
-	errHint   = errors.New("another node holds a newer version")
-	errSilent = errors.New("the watch did not end in time")
+	errHint     = errors.New("another node holds a newer version")
+	errSilent   = errors.New("the watch did not end in time")
+	errUpstream = errors.New("a watcher was asked in vain")
 )
 
-// longest returns the time after which the store is to end the next watch.
-func (s *source) longest() time.Duration {
-	if s.watcher() {
-		return time.Duration(watcherShare * float64(s.rollout))
-	}
-	return watchWait
-}
+// errNoWatcher says that there is no watcher to ask.
+var errNoWatcher = errors.New("no watcher is known")
 
 func (s *source) watchOnce(ctx context.Context, pos platform.Position) (*platform.Config, platform.Position, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	start, longest := time.Now(), s.longest()
 	type answer struct {
 		c   *platform.Config
 		pos platform.Position
@@ -191,7 +226,7 @@
 	}
 	done := make(chan answer, 1)
 	go func() {
-		c, next, err := s.watch(ctx, pos, longest)
+		c, next, err := s.next(ctx, pos)
 		done <- answer{c, next, err}
 	}()
 	hintWait := time.Duration(hintShare * float64(s.rollout))
@@ -199,8 +234,7 @@
 	if s.behind() { // the watch before brought an older version than the one shown
 		late = time.After(hintWait)
 	}
-	check := time.NewTicker(watchGrace)
-	defer check.Stop()
+	silent := time.After(s.longest() + watchGrace)
 	for {
 		select {
 		case a := <-done:
@@ -209,11 +243,7 @@
 			if late == nil && s.behind() {
 				late = time.After(hintWait)
 			}
-		case <-check.C:
-			// A node that becomes a watcher ends its long watch.
-			if time.Since(start) < min(longest, s.longest())+watchGrace {
-				continue
-			}
+		case <-silent:
 			cancel()
 			if a := <-done; a.err == nil {
 				return a.c, a.pos, nil
@@ -242,8 +272,9 @@
 	case uint64(c.Snapshot.Version) > s.version.Load():
 		s.log.Info("configuration applied", zap.Uint64("version", uint64(c.Snapshot.Version)),
 			zap.Uint64("before", s.version.Load()), zap.Int("routes", len(c.Snapshot.Routes)), zap.Any("ranks", rankNames(c.Snapshot)))
-		s.version.Store(uint64(c.Snapshot.Version))
 		s.apply(c)
+		s.version.Store(uint64(c.Snapshot.Version))
+		s.wake()
 	case uint64(c.Snapshot.Version) < s.version.Load():
 		s.log.Warn("configuration in the store is older than the one held and is ignored",
 			zap.Uint64("version", uint64(c.Snapshot.Version)), zap.Uint64("held", s.version.Load()))
@@ -261,7 +292,11 @@
 
 // failed and reached log a lost and a regained store.
 func (s *source) failed(ctx context.Context, err error) {
-	if err == nil || ctx.Err() != nil || s.lost {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	s.seen(time.Time{})
+	if s.lost {
 		return
 	}
 	s.lost = true
@@ -269,6 +304,7 @@
 }
 
 func (s *source) reached() {
+	s.seen(time.Now())
 	if s.lost {
 		s.log.Info("store regained", zap.Uint64("held", s.version.Load()))
 	}
--- a/internal/hosted/source_test.go
+++ b/internal/hosted/source_test.go
@@ -24,11 +24,41 @@
 type fakeStore struct {
 	version atomic.Uint64
 	silent  atomic.Bool   // watches do not answer
+	watched atomic.Uint32 // what a watcher does, see below
 	down    atomic.Bool   // calls fail
 	shared  atomic.Uint64 // version that other nodes hold, 0 if they give none
 	calls   atomic.Int64
 }
 
+// What the watcher of a fakeStore does.
+const (
+	noWatcher  = iota // there is none
+	follows           // answers with the version of the store
+	notFollows        // says that it has lost the store
+	mute              // does not answer
+)
+
+func (f *fakeStore) upstream(ctx context.Context, held mesh.Version, d time.Duration) (*platform.Config, error) {
+	switch f.watched.Load() {
+	case noWatcher:
+		return nil, errNoWatcher
+	case notFollows:
+		return nil, errNotFollowing
+	case mute:
+		select {
+		case <-ctx.Done():
+		case <-time.After(d + upstreamGrace):
+		}
+		return nil, context.DeadlineExceeded
+	}
+	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		if v := mesh.Version(f.version.Load()); v > held {
+			return &platform.Config{Snapshot: &config.Snapshot{Version: v}}, nil
+		}
+	}
+	return nil, ctx.Err()
+}
+
 func (f *fakeStore) config() (*platform.Config, platform.Position, error) {
 	f.calls.Add(1)
 	if f.down.Load() {
@@ -71,15 +101,15 @@
 func startSource(t *testing.T, f *fakeStore, watcher bool) (*source, func() []mesh.Version) {
 	var mu sync.Mutex
 	var applied []mesh.Version
-	s := &source{
-		peers: f.peers, read: f.read, watch: f.watch, rollout: testRollout, log: zap.NewNop(),
-		watcher: func() bool { return watcher }, hint: make(chan struct{}, 1),
+	s := newSource(sourceConfig{
+		peers: f.peers, read: f.read, watch: f.watch, upstream: f.upstream, rollout: testRollout, log: zap.NewNop(),
+		watcher: func() bool { return watcher },
 		apply: func(c *platform.Config) {
 			mu.Lock()
 			defer mu.Unlock()
 			applied = append(applied, c.Snapshot.Version)
 		},
-	}
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- s.run(ctx) }()
@@ -104,6 +134,7 @@
 				f := new(fakeStore)
 				f.version.Store(1)
 				s, applied := startSource(t, f, watcher)
+				f.watched.Store(mute)
 				time.Sleep(3 * time.Second)
 				f.silent.Store(true)
 				time.Sleep(time.Second)
@@ -139,20 +170,90 @@
 
 // TestSourceCalls guards against calls to the store that grow with the number of
 // nodes and changes: a series of changes costs a node few watches, and a node that
-// is no watcher hardly calls without one.
+// is no watcher does not call at all while a watcher answers it.
 func TestSourceCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := new(fakeStore)
 		f.version.Store(1)
+		f.watched.Store(follows)
 		s, _ := startSource(t, f, false)
 		time.Sleep(time.Minute)
-		require.LessOrEqual(t, f.calls.Load(), int64(4))
-		before := f.calls.Load()
+		require.LessOrEqual(t, f.calls.Load(), int64(1))
 		for range 50 {
 			s.hear(mesh.Version(f.version.Add(3)))
 			time.Sleep(100 * time.Millisecond)
 		}
-		require.LessOrEqual(t, f.calls.Load()-before, int64(9), "5 s of changes")
+		require.LessOrEqual(t, f.calls.Load(), int64(1), "5 s of changes")
+	})
+}
+
+// TestSourceWatcherCalls guards against a watcher that calls the store for every change
+// of a series.
+func TestSourceWatcherCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(fakeStore)
+		f.version.Store(1)
+		_, applied := startSource(t, f, true)
+		time.Sleep(time.Second)
+		before := f.calls.Load()
+		for range 50 {
+			f.version.Add(3)
+			time.Sleep(100 * time.Millisecond)
+		}
+		most := int64(5*time.Second/time.Duration(gapShare*float64(testRollout))) + 1
+		require.LessOrEqual(t, f.calls.Load()-before, most, "5 s of changes")
+		time.Sleep(testRollout)
+		require.Equal(t, mesh.Version(151), applied()[len(applied())-1])
+	})
+}
+
+// TestSourceUpstream guards against a configuration that is not in force in time on a
+// node that follows a watcher which has lost the store or has fallen silent.
+func TestSourceUpstream(t *testing.T) {
+	for name, state := range map[string]uint32{"follows": follows, "lost the store": notFollows, "mute": mute, "gone": noWatcher} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := new(fakeStore)
+				f.version.Store(1)
+				f.watched.Store(follows)
+				_, applied := startSource(t, f, false)
+				time.Sleep(3 * time.Second)
+				f.watched.Store(state)
+				f.version.Store(5)
+				time.Sleep(testRollout)
+				require.Equal(t, []mesh.Version{1, 5}, applied())
+			})
+		})
+	}
+}
+
+// TestAwait guards against a watcher that says that there is no newer version although
+// it has lost the store, or that leaves a node waiting then.
+func TestAwait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(fakeStore)
+		f.version.Store(1)
+		s, _ := startSource(t, f, true)
+		time.Sleep(time.Second)
+		begin := time.Now()
+		require.NoError(t, s.await(t.Context(), 1, time.Second))
+		require.Equal(t, time.Second, time.Since(begin), "nothing new")
+		f.version.Store(2)
+		begin = time.Now()
+		require.NoError(t, s.await(t.Context(), 1, time.Minute))
+		require.Less(t, time.Since(begin), testRollout)
+
+		f.silent.Store(true)
+		begin = time.Now()
+		require.ErrorIs(t, s.await(t.Context(), 2, time.Minute), errNotFollowing)
+		require.Less(t, time.Since(begin), testRollout)
+		f.silent.Store(false)
+		f.down.Store(true)
+		time.Sleep(3 * time.Second)
+		require.ErrorIs(t, s.await(t.Context(), 2, time.Minute), errNotFollowing)
+		f.down.Store(false)
+		time.Sleep(3 * time.Second)
+		require.NoError(t, s.await(t.Context(), 2, time.Second))
 	})
 }
 
@@ -162,6 +263,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := new(fakeStore)
 		f.version.Store(1)
+		f.watched.Store(follows)
 		s, applied := startSource(t, f, false)
 		time.Sleep(time.Second)
 		for range 60 {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -190,10 +190,13 @@
 	p.send(out)
 }
 
-// Watcher reports whether this node is one of the few that look for versions and
-// members which the others may have missed.
+// Watcher reports whether this node is one of the few that follow the platform for
+// the others.
 func (p *Peer) Watcher() bool { return version.IsWatcher(p.cfg.Self.ID, p.members()) }
 
+// Watchers returns the nodes that follow the platform for the others.
+func (p *Peer) Watchers() []member.Member { return version.Watchers(p.members()) }
+
 // Joined reports whether another node is known.
 func (p *Peer) Joined() bool {
 	p.mu.Lock()
--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -290,6 +290,34 @@
 	})
 }
 
+// TestHostedWatchers guards against calls to the store that grow with nodes, and
+// against a configuration that is late on nodes whose watcher was killed.
+func TestHostedWatchers(t *testing.T) {
+	h := newHosted(t, "look", "look", "look", "look", "look", "look", "look", "look")
+	h.begin("look")
+	time.Sleep(2 * time.Second) // the nodes know each other
+	before := h.store.Status().Counts["rows-feed"]
+	const calm = 4 * time.Second
+	time.Sleep(calm)
+	// Three watchers, and one more if views differed for a moment.
+	watch := hostedRollout * 4 / 10
+	require.LessOrEqual(t, h.store.Status().Counts["rows-feed"]-before, int64(4*(calm/watch+1)))
+
+	for i, n := range h.nodes[:4] {
+		require.NoError(t, n.process.Kill())
+		version := 10 + i
+		added := fmt.Sprintf("added%d", i)
+		h.put(version, "look", added)
+		changed := time.Now()
+		for _, n := range h.nodes[4:] {
+			h.within(hostedRollout, func() bool { return n.ask("GET", "/"+added+"/x").status == 503 }, "route "+added)
+		}
+		require.Less(t, time.Since(changed), hostedRollout)
+		n.start()
+		h.within(10*time.Second, n.ready, "started again")
+	}
+}
+
 // TestHostedStop guards against a planned stop that cuts requests, runs a booking
 // twice or outlasts the grace time.
 func TestHostedStop(t *testing.T) {
