Send a configuration whole to the nodes that follow a watcher

TestHeld fails first; TestHostedWatchers now bounds the reads that a change causes and fails without the fix.

Also a randomized soak of hosted nodes (TestHostedSoak): eight processes, relays to the store and to the backend servers, callers that keep their connections; kills, stops, freezes, reloads, links, the store and replaced backend servers, in series and overlapping, while versions come.

--- a/internal/hosted/share.go
+++ b/internal/hosted/share.go
@@ -109,7 +109,8 @@
 			return nil, err
 		}
 		_, err = z.Write(c.Raw)
-		return b.Bytes(), errors.Join(err, z.Close())
+		err = errors.Join(err, z.Close()) // writes the end
+		return b.Bytes(), err
 	})}
 }
 
--- a/internal/hosted/upstream_test.go
+++ b/internal/hosted/upstream_test.go
@@ -1,15 +1,32 @@
 package hosted
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
+	"lavenderrill.dev/lavenderrill/platform"
 )
 
+// TestHeld guards against a configuration that other nodes get cut short.
+func TestHeld(t *testing.T) {
+	raw := bytes.Repeat([]byte("configuration "), 5000)
+	b, err := newHeld(&platform.Config{Snapshot: &config.Snapshot{Version: 3}, Raw: raw}).packed()
+	require.NoError(t, err)
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	require.NoError(t, err)
+	got, err := io.ReadAll(z)
+	require.NoError(t, err)
+	require.Equal(t, raw, got)
+}
+
 // TestUpstreams guards against a node that follows a watcher of another availability
 // zone, itself, or one that does not answer, while it has a better one.
 func TestUpstreams(t *testing.T) {
--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -38,36 +38,51 @@
 	store *standin.Store
 	addr  string
 	nodes []*hostedNode
+
+	between func(*hostedNode) // puts relays around a node before it starts; may be nil
 }
 
 type hostedNode struct {
 	h       *hosted
 	ip      string
+	store   string // address at which the node reaches the store
+	app     string // address at which the node reaches its backend server
 	port    int // first of the ports of the node
 	service string
 	path    string // of the settings file
-	process *Process
+	process *Process                // set by start
+	current atomic.Pointer[Process] // process, for other goroutines
 	server  *standin.Server
 	silent  atomic.Bool // the backend server sends no heartbeats
 }
 
 // newHosted starts a node and a backend server for each of services.
 func newHosted(t *testing.T, services ...string) *hosted {
+	h := newStore(t)
+	for i, s := range services {
+		h.add(i, s)
+	}
+	return h
+}
+
+// newStore starts the stand-in of the store, without nodes.
+func newStore(t *testing.T) *hosted {
 	bin, err := Build(t.Context())
 	require.NoError(t, err)
 	h := &hosted{t: t, bin: bin, store: standin.NewStore(1)}
 	srv := httptest.NewServer(h.store)
 	t.Cleanup(srv.Close)
 	h.addr = srv.Listener.Addr().String()
-	for i, s := range services {
-		h.add(i, s)
-	}
 	return h
 }
 
 func (h *hosted) add(i int, service string) *hostedNode {
 	n := &hostedNode{h: h, ip: fmt.Sprintf("127.1.0.%d", i+1), service: service}
 	n.port = freePorts(h.t, n.ip)
+	n.store, n.app = h.addr, n.at(5)
+	if h.between != nil {
+		h.between(n)
+	}
 	n.path = filepath.Join(h.t.TempDir(), "node.yaml")
 	require.NoError(h.t, os.WriteFile(n.path, []byte(n.settings(i)), 0o600))
 	var err error
@@ -120,18 +135,25 @@
 policy-params: ["config-ms=%d", "grace-s=%d", "retry-budget-ratio=0.2", "retry-budget-slack=50", "budget-window-s=10"]
 provider: {address: %q}
 unknown: [{field: 1}]
-`, i, i%2, n.ip, n.service, n.at(5), n.at(0), n.at(1), n.at(2), n.port+3, n.port+4,
-		hostedHeartbeat.Milliseconds(), hostedRollout.Milliseconds(), int(hostedGrace.Seconds()), n.h.addr)
+`, i, i%2, n.ip, n.service, n.app, n.at(0), n.at(1), n.at(2), n.port+3, n.port+4,
+		hostedHeartbeat.Milliseconds(), hostedRollout.Milliseconds(), int(hostedGrace.Seconds()), n.store)
 }
 
 func (n *hostedNode) start() {
 	log := filepath.Join(filepath.Dir(n.path), "log")
-	p, err := Launch("node "+n.ip, log, []string{platform.SettingsEnv + "=" + n.path}, n.h.bin.Node, "hosted")
+	p, err := Launch("node "+n.ip, log, []string{platform.SettingsEnv + "=" + n.path}, n.h.bin.Node, "hosted", "--metrics", n.at(metricsPort))
 	require.NoError(n.h.t, err)
 	n.process = p
+	n.current.Store(p)
 	n.h.t.Cleanup(func() { _ = p.Kill() })
 }
 
+// metricsPort is the port of the metrics of a node, counted from its first one.
+const metricsPort = 6
+
+// running returns the process that was started last.
+func (n *hostedNode) running() *Process { return n.current.Load() }
+
 func (n *hostedNode) beat() error { return n.server.Beat(n.h.t.Context(), n.at(2)) }
 
 func (n *hostedNode) ready() bool {
@@ -156,17 +178,24 @@
 
 // ask sends a request to the caller listener of n on a connection of its own.
 func (n *hostedNode) ask(method, path string) reply {
+	return n.askWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}, method, path)
+}
+
+// askWith sends a request to the caller listener of n. A path that ends with a slash
+// is followed by the request id.
+func (n *hostedNode) askWith(c *http.Client, method, path string) reply {
 	r := reply{id: fmt.Sprintf("%016x", requestNumber.Add(1))}
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.at(0)+path, strings.NewReader(""))
+	if strings.HasSuffix(path, "/") {
+		path += r.id
+	}
+	req, err := http.NewRequest(method, "http://"+n.at(0)+path, strings.NewReader(""))
 	if err != nil {
 		return r
 	}
-	req.Host, req.Close = "shop.example", true
+	req.Host = "shop.example"
 	req.Header.Set("Lavenderrill-Request-Id", r.id)
 	req.Header.Set("Lavenderrill-Deadline-Ms", "2000")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.Do(req)
 	if err != nil {
 		return r
 	}
@@ -219,6 +248,13 @@
 
 func (h *hosted) within(d time.Duration, f func() bool, what string) {
 	h.t.Helper()
+	defer func() {
+		if h.t.Failed() {
+			for _, n := range h.nodes {
+				h.t.Logf("%s:\n%s", n.ip, n.process.Tail())
+			}
+		}
+	}()
 	require.Eventually(h.t, f, d, 20*time.Millisecond, what)
 }
 
@@ -303,6 +339,14 @@
 	watch := hostedRollout * 4 / 10
 	require.LessOrEqual(t, h.store.Status().Counts["rows-feed"]-before, int64(4*(calm/watch+1)))
 
+	before = h.store.Status().Counts["rows-get"]
+	h.put(2, "look", "first")
+	for _, n := range h.nodes {
+		h.within(hostedRollout, func() bool { return n.ask("GET", "/first/x").status == 503 }, "route first")
+	}
+	// Watchers read the rows of nodes once or twice meanwhile.
+	require.LessOrEqual(t, h.store.Status().Counts["rows-get"]-before, int64(3), "other nodes get it from watchers")
+
 	for i, n := range h.nodes[:4] {
 		require.NoError(t, n.process.Kill())
 		version := 10 + i
