Choose backend servers that are slow after their start last

The assumed work of an endpoint that has not reported, a quarter of the target, made it the first choice of every node at once, and the time for which it is still slow, which its heartbeats tell, was decoded and not used.

A gate shows the state warming for that time. Until such an endpoint has reported, its work is taken to be twice that of the others; what it reported while it was slow is forgotten when it is warm. Endpoints without reports are taken to be like the others.

--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -39,6 +39,7 @@
 	State       string        `json:"state"` // starting, ready or draining
 	Health      string        `json:"health"`
 	Load        string        `json:"load"`
+	Warmup      time.Duration `json:"-"` // for which it is still slow after its start
 }
 
 // Accepted answers an announcement.
--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -40,6 +40,7 @@
 	announced    member.EndpointState // as the backend server says
 	health, load string               // paths of its health and load endpoints, for operators
 
+	warm       time.Time // until then it is slow after its start
 	expires    time.Time // end of the lease
 	lapsed     bool      // the lease ended
 	failures   int       // consecutive connection failures
@@ -62,6 +63,8 @@
 		return member.Unhealthy
 	case !g.until.IsZero() && e.announced == member.Ready:
 		return member.Yielding
+	case e.announced == member.Ready && time.Now().Before(e.warm):
+		return member.Warming
 	}
 	return e.announced
 }
@@ -83,7 +86,7 @@
 		e.connections, e.pools = a.Connections, g.newPools(a)
 	}
 	e.slots, e.announced, e.health, e.load = a.Slots, state, a.Health, a.Load
-	e.expires, e.lapsed = now.Add(g.conf.Lease), false
+	e.expires, e.lapsed, e.warm = now.Add(g.conf.Lease), false, now.Add(a.Warmup)
 	g.applySnapshot(now)
 	g.decide(g.machine.SetSlots(now, a.Slots))
 	g.follow(now, was)
@@ -108,12 +111,11 @@
 	if is == was {
 		return
 	}
-	g.figures.endpoint.Add(is.String(), 1)
-	g.log.Info("endpoint state changed", zap.Stringer("from", was), zap.Stringer("to", is))
-	switch is {
-	case member.Ready:
+	switch {
+	case is == member.Ready && was == member.Warming, is == member.Warming && was == member.Ready:
+	case is == member.Ready, is == member.Warming:
 		g.machine.Restart(now)
-	case member.Yielding:
+	case is == member.Yielding:
 	default:
 		g.drainLocked(now)
 	}
@@ -248,6 +250,10 @@
 	if service == t.service && slots == t.slots && state == t.state {
 		return
 	}
+	if state != t.state {
+		g.figures.endpoint.Add(state.String(), 1)
+		g.log.Info("endpoint state changed", zap.Stringer("from", t.state), zap.Stringer("to", state))
+	}
 	t.service, t.slots, t.state = service, slots, state
 	t.notify(service, slots, state)
 }
--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"net"
@@ -322,3 +323,38 @@
 	require.Equal(t, member.Draining, <-states)
 	send(t, r.request(t, http.MethodPost, "", time.Second)).requireRefusal(t, fault.Draining, fault.NotRun)
 }
+
+// TestWarming guards against a backend server that is slow after its start and is not
+// told apart from others, and against requests that are refused when it gets warm.
+func TestWarming(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	states := make(chan member.EndpointState, 10)
+	r := newRig(t, s.Listener.Addr().String(), func(c *Config) {
+		c.OnEndpoint = func(_ mesh.Service, _ int, state member.EndpointState) { states <- state }
+	})
+	require.Equal(t, member.Ready, <-states)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	defer func() {
+		cancel()
+		require.NoError(t, <-ended)
+	}()
+	next := func() member.EndpointState {
+		select {
+		case s := <-states:
+			return s
+		case <-time.After(5 * time.Second):
+			return member.NoEndpoint
+		}
+	}
+	require.NoError(t, r.Announce(Announcement{
+		Service: "reservasi", Addr: mesh.Addr(s.Listener.Addr().String()), Instance: "another", Slots: 20, Connections: 110,
+		State: "ready", Warmup: 300 * time.Millisecond,
+	}))
+	require.Equal(t, member.Warming, next())
+	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Second)).status)
+	require.Equal(t, member.Ready, next())
+	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Second)).status)
+}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -40,6 +40,7 @@
 	Draining
 	Unhealthy
 	Yielding // ready, but its node is about to stop
+	Warming  // ready, and still slow after its start
 )
 
 // String returns the lower-case name of s.
@@ -57,6 +58,8 @@
 		return "unhealthy"
 	case Yielding:
 		return "yielding"
+	case Warming:
+		return "warming"
 	}
 	return "invalid"
 }
--- a/internal/core/member/merge.go
+++ b/internal/core/member/merge.go
@@ -48,7 +48,7 @@
 
 // take merges one update into the view.
 func (l *List) take(now time.Time, u Update) {
-	if u.ID == "" || u.Status > Left || u.Endpoint > Yielding {
+	if u.ID == "" || u.Status > Left || u.Endpoint > Warming {
 		return
 	}
 	if u.ID == l.self.ID {
--- a/internal/core/route/endpoint.go
+++ b/internal/core/route/endpoint.go
@@ -23,7 +23,7 @@
 		return closed
 	}
 	switch m.Endpoint {
-	case member.Ready:
+	case member.Ready, member.Warming:
 		if m.Status == member.Alive {
 			return healthy
 		}
@@ -81,6 +81,9 @@
 		e.drainedUntil = time.Time{}
 	}
 	e.class = classify(m)
+	if e.state == member.Warming && m.Endpoint == member.Ready {
+		e.load.work = nil // reported while it was slow
+	}
 	e.state, e.status, e.incarnation = m.Endpoint, m.Status, m.Incarnation
 	e.slots = float64(max(m.Slots, 1))
 }
--- a/internal/core/route/load.go
+++ b/internal/core/route/load.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -17,9 +18,12 @@
 	// endpoint of the own availability zone is good enough: a shorter one in
 	// another zone would not make the answer worth more.
 	localShare = 0.75
-	// assumedShare is the share of the target that the work is assumed to take at
-	// an endpoint that has not reported yet, so that new endpoints get work.
+	// assumedShare is the share of the target that the work is assumed to take
+	// before any endpoint has reported.
 	assumedShare = 0.25
+	// warmingWork is the work of an endpoint that is still slow after its start, as a
+	// multiple of that of the others, until it has reported.
+	warmingWork = 2
 )
 
 // Reach says in which availability zones an endpoint is looked for.
@@ -89,27 +93,42 @@
 // Work returns the mean time that requests of rank take at the endpoints of s that
 // reported it, or the assumed share of target if none did.
 func (p *Picker) Work(s mesh.Service, rank mesh.Rank, target time.Duration) time.Duration {
+	svc := p.service(s)
+	if svc == nil {
+		return time.Duration(assumedShare * float64(target))
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.meanWork(rank, target)
+}
+
+// meanWork is Work with the lock held.
+func (s *service) meanWork(rank mesh.Rank, target time.Duration) time.Duration {
 	var sum time.Duration
 	n := 0
-	if svc := p.service(s); svc != nil {
-		svc.mu.Lock()
-		defer svc.mu.Unlock()
-		svc.eachOpen(func(e *Endpoint) bool {
-			for i := range e.load.work {
-				if w := &e.load.work[i]; w.rank == rank {
-					sum += w.time
-					n++
-				}
-			}
-			return n < compareSample
-		})
-	}
+	s.eachOpen(func(e *Endpoint) bool {
+		if d, ok := e.work(rank); ok {
+			sum += d
+			n++
+		}
+		return n < compareSample
+	})
 	if n == 0 {
 		return time.Duration(assumedShare * float64(target))
 	}
 	return sum / time.Duration(n)
 }
 
+// work returns the time that requests of rank take at e, if it reported one.
+func (e *Endpoint) work(rank mesh.Rank) (time.Duration, bool) {
+	for i := range e.load.work {
+		if w := &e.load.work[i]; w.rank == rank {
+			return w.time, true
+		}
+	}
+	return 0, false
+}
+
 func (e *Endpoint) setWork(rank mesh.Rank, d time.Duration) {
 	for i := range e.load.work {
 		if w := &e.load.work[i]; w.rank == rank {
@@ -137,10 +156,11 @@
 // expected returns the time in which e is expected to answer a request of n: its
 // work there and the wait for a slot.
 func (e *Endpoint) expected(n Need, now time.Time) time.Duration {
-	work := time.Duration(assumedShare * float64(n.Target))
-	for i := range e.load.work {
-		if w := &e.load.work[i]; w.rank == n.Rank {
-			work = w.time
+	work, ok := e.work(n.Rank)
+	if !ok {
+		work = e.svc.meanWork(n.Rank, n.Target)
+		if e.state == member.Warming {
+			work *= warmingWork
 		}
 	}
 	ahead := e.occupied(now) + 1 - e.slots
--- a/internal/core/route/load_test.go
+++ b/internal/core/route/load_test.go
@@ -96,3 +96,42 @@
 		require.Equal(t, mesh.NodeID("slow"), p.PickFor("s", n, nil, now).ID)
 	}
 }
+
+// TestWarmingEndpoint guards against many nodes that all send their first request to an
+// endpoint that is slow after its start, against one that gets none once it is warm, and
+// against one that is shunned for the work that it reported while it was slow.
+func TestWarmingEndpoint(t *testing.T) {
+	now := time.Unix(1000, 0)
+	need := Need{"r", 500 * time.Millisecond, Anywhere}
+	ms := []member.Member{
+		{ID: "a", Zone: "a", Addr: "10.0.0.1:1", Service: "s", Slots: 10, Endpoint: member.Ready},
+		{ID: "b", Zone: "a", Addr: "10.0.0.2:1", Service: "s", Slots: 10, Endpoint: member.Ready},
+		{ID: "new", Zone: "a", Addr: "10.0.0.3:1", Service: "s", Slots: 10, Endpoint: member.Warming},
+	}
+	p := NewPicker(PickerConfig{Zone: "a"})
+	p.Update(ms, now)
+	report(p, "a", "busy=0.50,work=180", now)
+	report(p, "b", "busy=0.50,work=190", now)
+	toNew := func() int {
+		n := 0
+		for range 300 {
+			e := p.PickFor("s", need, nil, now)
+			if e.ID == "new" {
+				n++
+			}
+			p.Done(e, Canceled, "r", 0, now)
+		}
+		return n
+	}
+	require.Zero(t, toNew(), "others are free")
+	report(p, "a", "busy=3.00,work=180", now)
+	report(p, "b", "busy=3.00,work=190", now)
+	require.NotZero(t, toNew(), "others are full")
+	report(p, "a", "busy=0.50,work=180", now)
+	report(p, "b", "busy=0.50,work=190", now)
+	report(p, "new", "busy=0.10,work=380", now)
+	require.Zero(t, toNew())
+	ms[2].Endpoint = member.Ready
+	p.Update(ms, now)
+	require.Greater(t, toNew(), 50, "warm")
+}
--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -35,15 +35,16 @@
 	if v == started && was.id != "" {
 		n.gate.Withdraw()
 	}
-	return n.announce(b.Instance, b.Slots, b.Draining)
+	return n.announce(b.Instance, b.Slots, b.Draining, b.Warmup)
 }
 
 // announce passes the state of the backend server to the gate. Without a
 // configuration the gate could admit nothing, so the announcement waits for one.
 // The lock must be held.
-func (n *Node) announce(id mesh.Instance, slots int, draining bool) error {
+func (n *Node) announce(id mesh.Instance, slots int, draining bool, warmup time.Duration) error {
 	if n.config.Load() == nil {
-		n.awaiting = func() error { return n.announce(id, slots, draining) }
+		until := time.Now().Add(warmup)
+		n.awaiting = func() error { return n.announce(id, slots, draining, time.Until(until)) }
 		return nil
 	}
 	set := n.set.Load()
@@ -57,7 +58,7 @@
 	}
 	return n.gate.Announce(backend.Announcement{
 		Service: set.Service, Addr: set.Backend, Instance: id,
-		Slots: slots, Connections: max(connections, 2*slots), State: state.String(),
+		Slots: slots, Connections: max(connections, 2*slots), State: state.String(), Warmup: warmup,
 	})
 }
 
@@ -130,7 +131,7 @@
 		n.gate.Withdraw()
 	}
 	n.log.Info("backend server found by its health check", zap.String("instance", string(id)), zap.String("before", string(before)))
-	if err := n.announce(id, guessedSlots, false); err != nil {
+	if err := n.announce(id, guessedSlots, false, 0); err != nil {
 		n.log.Error("backend server cannot be announced", zap.Error(err))
 	}
 }
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -44,7 +44,7 @@
 
 func fromMember(m *peerpb.Member) (member.Update, error) {
 	if m.GetId() == "" || m.GetAddr() == "" || m.GetStatus() > uint32(member.Left) ||
-		m.GetEndpoint() > uint32(member.Yielding) || m.GetSlots() > math.MaxInt32 {
+		m.GetEndpoint() > uint32(member.Warming) || m.GetSlots() > math.MaxInt32 {
 		return member.Update{}, fmt.Errorf("%w: member %q", errForm, m.GetId())
 	}
 	return member.Update{
