Pace downloads to the link, and free their slots once they are fetched

A download of 90 kB to 540 kB was written as fast as the sockets took it, so that every small response of the VM waited behind whole downloads in the queue of the link: 1.5 s in the load played by TestPacedLink.

Bulk bodies leave a VM at 0.9 of the rate of its link, in parts of 16 kB. A gate reads the body of a bulk response into memory, 8 MB in all, and gives the slot back: before, a slot was held for as long as the link took. A drain waits for such responses too.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/admit"
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -45,6 +47,9 @@
 	Metrics *metric.Registry
 	Log     *zap.Logger
 
+	// Pacer bounds the rate of bulk responses to other VMs; nil for no bound.
+	Pacer *hop.Pacer
+
 	Lease       time.Duration // life of an announcement
 	MaxBody     int64         // largest request body in bytes; negative for no limit
 	MaxDeadline time.Duration // longest deadline, and that of requests without one
@@ -107,6 +112,9 @@
 	until    time.Time     // Yield was called: requests must end by then
 	idle     chan struct{} // closed when nothing is in flight and draining
 
+	delivering int // responses that are passed on without a slot
+
+	fetched  atomic.Int64 // bytes of bodies that are held
 	notifier notifier
 }
 
@@ -174,7 +182,7 @@
 
 // checkIdle closes the idle channel once a stopping gate has nothing in flight.
 func (g *Gate) checkIdle() {
-	if !g.stopping || g.machine.InFlight() > 0 {
+	if !g.stopping || g.machine.InFlight() > 0 || g.delivering > 0 {
 		return
 	}
 	select {
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -1,8 +1,11 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -96,10 +99,78 @@
 	if err := hop.ReadSmallResponse(resp); err != nil {
 		return g.cutShort(ctx, err)
 	}
+	if c.bulk {
+		n, err := g.fetch(resp)
+		if err != nil {
+			return g.cutShort(ctx, err)
+		}
+		if n > 0 {
+			defer g.delivered(n)
+			g.deliver(c)
+		}
+	}
+	if c.bulk && !fromSameVM(r) {
+		resp.Body = g.conf.Pacer.Body(resp.Body)
+	}
 	g.answer(w, c, resp)
 	return nil
 }
 
+// maxFetched bounds the bytes of bulk bodies that a gate holds in memory.
+const maxFetched = 8 << 20
+
+// fetch reads the body of a bulk response into memory, if its length is known and there
+// is room, and returns the number of bytes that it holds. The backend server is done
+// then, however long the body takes over the link, and one that was cut short can be
+// asked for again.
+func (g *Gate) fetch(resp *http.Response) (int64, error) {
+	n := resp.ContentLength
+	if n <= 0 || resp.Body == http.NoBody || g.conf.Pacer == nil {
+		return 0, nil
+	}
+	if g.fetched.Add(n) > maxFetched {
+		g.fetched.Add(-n)
+		return 0, nil
+	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(resp.Body, b)
+	resp.Body.Close()
+	if err != nil {
+		g.fetched.Add(-n)
+		return 0, err
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(b))
+	return n, nil
+}
+
+// deliver gives the slot of c back while its response is still being passed on.
+func (g *Gate) deliver(c *call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delivering++
+	g.decide(g.machine.Done(time.Now(), &c.Ticket, c.latency))
+}
+
+// delivered ends deliver for a body of n bytes.
+func (g *Gate) delivered(n int64) {
+	g.fetched.Add(-n)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delivering--
+	g.checkIdle()
+}
+
+// fromSameVM reports whether r came from the VM that it came to, so that its response
+// does not leave over the link.
+func fromSameVM(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+	if !ok {
+		return false
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && local.IP.Equal(net.ParseIP(host))
+}
+
 // cutShort returns the refusal of a request whose response body broke off
 // before any of it was passed on.
 func (g *Gate) cutShort(ctx context.Context, err error) *fault.Error {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -71,6 +71,7 @@
 	Linger        time.Duration // Drain keeps idle connections open for this time
 
 	Pools *hop.Pools // connections to gates
+	Pacer *hop.Pacer // bounds the rate of bulk responses; nil for no bound
 
 	// AskQuota asks the owners of rate limits for this node's shares; nil if
 	// this node is alone. See peer.Peer.AskQuota.
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -149,6 +149,9 @@
 	res := newResumption(q, a.resp)
 	flush := hop.Streaming(a.resp)
 	for {
+		if q.route.Policy.Bulk {
+			a.resp.Body = c.cfg.Pacer.Body(a.resp.Body)
+		}
 		n, err := hop.CopyBody(q.w, a.resp.Body, flush)
 		res.offset += n
 		if err == nil || !errors.Is(err, hop.ErrRead) || !res.allowed(n) {
--- /dev/null
+++ b/internal/hop/pace_test.go
@@ -0,0 +1,107 @@
+package hop
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPacer guards against downloads that fill the queue of a link together, so that
+// small responses wait behind them, against ones that are changed, and against pacing
+// where the rate of the link is not known.
+func TestPacer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const link = 1 << 20 // bytes per second
+		p := NewPacer(link)
+		want := bytes.Repeat([]byte("0123456789abcdef"), 32<<10) // half a second of the link
+		begin := time.Now()
+		ended := make(chan error, 2)
+		for range 2 {
+			go func() {
+				got, err := io.ReadAll(p.Body(io.NopCloser(bytes.NewReader(want))))
+				if err == nil && !bytes.Equal(got, want) {
+					err = io.ErrUnexpectedEOF
+				}
+				ended <- err
+			}()
+		}
+		require.NoError(t, <-ended)
+		require.NoError(t, <-ended)
+		took := time.Since(begin)
+		require.InDelta(t, 1/paceShare, took.Seconds(), 0.1)
+
+		begin = time.Now()
+		_, err := io.ReadAll(NewPacer(0).Body(io.NopCloser(bytes.NewReader(want))))
+		require.NoError(t, err)
+		require.Equal(t, begin, time.Now())
+	})
+}
+
+// link is a link that passes on what it gets in order, as a network card does.
+type link struct {
+	mu   sync.Mutex
+	rate float64 // bytes per second
+	free time.Time
+}
+
+// send queues n bytes and returns when they will have passed.
+func (l *link) send(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	return l.free
+}
+
+// TestPacedLink guards against small responses that wait behind downloads in the queue
+// of a slow link: ten downloads of 300 kB begin within a second over 10.5 Mbit/s, which
+// is half of what the link carries in the time played, beside a small response each 20 ms.
+func TestPacedLink(t *testing.T) {
+	slowest := func(paced bool) (small, download time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			l := &link{rate: 10.5e6 / 8}
+			var p *Pacer
+			if paced {
+				p = NewPacer(l.rate)
+			}
+			ended := make(chan time.Duration)
+			for i := range 10 {
+				go func() {
+					time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+					begin, last := time.Now(), time.Time{}
+					body := p.Body(io.NopCloser(bytes.NewReader(make([]byte, 300_000))))
+					part := make([]byte, 32<<10)
+					for {
+						n, err := body.Read(part)
+						if err != nil {
+							break
+						}
+						last = l.send(n)
+					}
+					ended <- last.Sub(begin)
+				}()
+			}
+			for range 200 {
+				small = max(small, time.Until(l.send(5_000)))
+				time.Sleep(20 * time.Millisecond)
+			}
+			for range 10 {
+				download = max(download, <-ended)
+			}
+		})
+		return small, download
+	}
+	small, download := slowest(false)
+	pacedSmall, pacedDownload := slowest(true)
+	t.Logf("slowest small response %v, paced %v; slowest download %v, paced %v", small, pacedSmall, download, pacedDownload)
+	require.Less(t, pacedSmall, 250*time.Millisecond, "half of a target of 500 ms")
+	require.Less(t, pacedSmall, small/3)
+	require.Less(t, pacedDownload, 2*download)
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -77,6 +77,7 @@
 	caller  *caller.Caller
 	peer    *peer.Peer
 
+	pacer     *hop.Pacer     // of downloads that leave the VM
 	peers     *hop.Transport // requests for configurations
 	upstreams upstreams
 
@@ -118,6 +119,7 @@
 		apply: n.apply, rollout: set.Rollout, log: n.log,
 		watcher: func() bool { return !n.stopping.Load() && n.peer.Watcher() },
 	})
+	n.pacer = hop.NewPacer(set.Link)
 	n.gate = n.newGate()
 	if n.peer, err = n.newPeer(); err != nil {
 		n.close()
@@ -161,6 +163,7 @@
 		OnEndpoint: func(s mesh.Service, slots int, e member.EndpointState) { n.peer.SetEndpoint(s, slots, e) },
 		Dialect:    backend.Dialect{Request: platform.Request, Response: n.response},
 		Lease:      leaseHeartbeats * set.Heartbeat,
+		Pacer:      n.pacer,
 		MaxBody:    -1, // the caller listener applies the limit
 		Admission: admit.Config{Fixed: true, Ramp: -1, Reserve: true, Timely: true, Assumed: assumedService,
 			Longest: time.Duration(queueShare * float64(set.Grace))},
@@ -220,6 +223,7 @@
 		Entry:     platform.Entry,
 		Pools:     hop.NewPools(pool, pool),
 		ConnState: n.idle.state,
+		Pacer:     n.pacer,
 		Metrics:   n.metrics,
 		Log:       n.log,
 	})
