--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -47,9 +47,9 @@
 	ip      string
 	store   string // address at which the node reaches the store
 	app     string // address at which the node reaches its backend server
-	port    int // first of the ports of the node
+	port    int    // first of the ports of the node
 	service string
-	path    string // of the settings file
+	path    string                  // of the settings file
 	process *Process                // set by start
 	current atomic.Pointer[Process] // process, for other goroutines
 	server  *standin.Server
