--- a/internal/backend/fetch_test.go
+++ b/internal/backend/fetch_test.go
@@ -23,7 +23,6 @@
 	req.Header.Set(mesh.RankHeader, "bulk")
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	require.NoError(t, err)
-	t.Cleanup(func() { resp.Body.Close() })
 	return resp
 }
 
@@ -45,6 +44,7 @@
 	r := newRig(t, s.Listener.Addr().String(), func(c *Config) { c.Pacer = hop.NewPacer(1 << 30) })
 
 	resp := r.download(t, http.MethodGet)
+	defer func() { resp.Body.Close() }()
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.Eventually(t, func() bool { return r.Status().InFlight == 0 }, 2*time.Second, time.Millisecond)
 
@@ -60,9 +60,12 @@
 	require.Zero(t, r.fetched.Load())
 
 	r = newRig(t, s.Listener.Addr().String(), func(c *Config) { c.Pacer = hop.NewPacer(1 << 30) })
-	require.Equal(t, http.StatusOK, r.download(t, http.MethodHead).StatusCode)
+	head := r.download(t, http.MethodHead)
+	defer head.Body.Close()
+	require.Equal(t, http.StatusOK, head.StatusCode)
 	cut = true
-	resp = r.download(t, http.MethodGet)
-	require.Equal(t, string(fault.OutcomeUnknown), resp.Header.Get(fault.KindHeader))
+	short := r.download(t, http.MethodGet)
+	defer short.Body.Close()
+	require.Equal(t, string(fault.OutcomeUnknown), short.Header.Get(fault.KindHeader))
 	require.Zero(t, r.fetched.Load())
 }
