Count the retry window by the steady clock

Cause: seconds of the window were those of the time of day. After a step backwards no second ended, so that repeats of a longer time were weighed against requests of a longer time; after a step forwards all was forgotten and the budget was open once more.

Found by reading. TestWindowTimeOfDay fails first (a window before 1970 panicked).

--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -16,17 +16,16 @@
 	a, b  [windowSlots]float64
 	sumA  float64
 	sumB  float64
-	slot  int64 // number of the current slot since the zero of unix time
-	begun bool
+	slot  int64     // number of the current slot since begun
+	begun time.Time // first use; times are compared with it by the steady clock
 }
 
 // advance drops the slots that left the window.
 func (w *window) advance(now time.Time) {
-	slot := now.UnixNano() / int64(slotWidth)
-	if !w.begun {
-		w.slot, w.begun = slot, true
-		return
+	if w.begun.IsZero() {
+		w.begun = now
 	}
+	slot := int64(now.Sub(w.begun) / slotWidth)
 	if slot <= w.slot {
 		return
 	}
