Name the registered nodes that a wait for a version does not count

Once its members have converged, a node reads the registered nodes and names those that are no members. The command waits up to 5 s for them, and names those left: rows of nodes that are gone without a farewell stay. TestUncounted and TestWaitForRegistered.

--- a/cmd/lavenderrill/wait.go
+++ b/cmd/lavenderrill/wait.go
@@ -20,6 +20,10 @@
 	acceptAttempts = 3
 	acceptPause    = 500 * time.Millisecond
 	waitPause      = 100 * time.Millisecond
+	// uncountedWait is the longest wait for nodes that are registered with the
+	// platform and not yet members. Nodes join within a few seconds of their start;
+	// the rows of nodes that are gone without a farewell stay.
+	uncountedWait = 5 * time.Second
 )
 
 // unresolvedError says that a change may or may not have been accepted.
@@ -82,17 +86,27 @@
 		return fmt.Errorf("version %d is accepted, but not yet served everywhere: %w", a.Version, err)
 	}
 	return r.print(s, func() string {
-		return fmt.Sprintf("accepted as version %d, served by all %d nodes after %v\n", a.Version, members(s), time.Since(start).Round(time.Millisecond))
+		return servedBy(a.Version, s, time.Since(start))
 	})
 }
 
-// waitConverged asks for the status until all members serve v. Progress goes to
-// standard error.
+// servedBy tells which nodes serve v, and which are not counted.
+func servedBy(v mesh.Version, s client.Status, took time.Duration) string {
+	t := fmt.Sprintf("accepted as version %d, served by all %d nodes after %v\n", v, members(s), took.Round(time.Millisecond))
+	if n := len(s.Uncounted); n > 0 {
+		t += fmt.Sprintf("not counted: %d nodes that are registered with the platform and cannot be reached: %v\n", n, s.Uncounted)
+	}
+	return t
+}
+
+// waitConverged asks for the status until all members serve v, and for a while until
+// all registered nodes are members. Progress goes to standard error.
 func waitConverged(ctx context.Context, cl *client.Client, v mesh.Version) (client.Status, error) {
 	last := -1
+	begin := time.Now()
 	for {
 		s, err := cl.Status(ctx, v)
-		if err == nil && s.Converged {
+		if err == nil && s.Converged && (len(s.Uncounted) == 0 || time.Since(begin) >= uncountedWait) {
 			return s, nil
 		}
 		if n := current(s); err == nil && n != last {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -70,10 +70,15 @@
 	b.server = New(Config{
 		ID: "n1", Token: testToken, Platform: p,
 		Content: b.current, Publish: b.publish,
-		Survey: func(context.Context, mesh.Version) ([]client.ZoneStatus, error) {
+		Survey: func(_ context.Context, v mesh.Version) ([]client.ZoneStatus, error) {
+			if v == everywhere {
+				return []client.ZoneStatus{{Zone: "z", Members: 2, Current: 2}}, nil
+			}
 			return []client.ZoneStatus{{Zone: "z", Members: 2, Current: 1, Lagging: []mesh.NodeID{"n2"}}}, nil
 		},
-		Members: func() []member.Member { return nil },
+		Members: func() []member.Member {
+			return []member.Member{{ID: "n1"}, {ID: "n2"}, {ID: "gone", Status: member.Dead}}
+		},
 		Explain: func(client.ExplainRequest) client.Explanation { return client.Explanation{} },
 		Ready:   func() bool { return true },
 		Metrics: metric.New(), Log: zap.NewNop(),
@@ -287,6 +292,25 @@
 	require.Equal(t, http.StatusUnauthorized, w.Code)
 }
 
+// everywhere is a version that all members of the bench serve.
+const everywhere = 7
+
+// TestUncounted guards against a version that is reported as served by all nodes while
+// some that have registered are not members yet.
+func TestUncounted(t *testing.T) {
+	b := newBench(t)
+	for _, id := range []mesh.NodeID{"n1", "n3", "gone"} {
+		require.NoError(t, b.server.cfg.Platform.WriteNode(t.Context(), dynamo.NodeRow{ID: id, Addr: "10.0.0.1:1", Zone: "z"}))
+	}
+	s, err := b.client.Status(t.Context(), everywhere)
+	require.NoError(t, err)
+	require.True(t, s.Converged)
+	require.Equal(t, []mesh.NodeID{"gone", "n3"}, s.Uncounted)
+	s, err = b.client.Status(t.Context(), 5)
+	require.NoError(t, err)
+	require.Empty(t, s.Uncounted, "not read before the members have converged")
+}
+
 // TestStatus guards against a status that reports lagging nodes as converged.
 func TestStatus(t *testing.T) {
 	b := newBench(t)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
@@ -31,10 +35,45 @@
 	}
 	out.Zones = zones
 	out.Converged = converged(zones)
-	out.Endpoints = endpoints(s.cfg.Members())
+	ms := s.cfg.Members()
+	out.Endpoints = endpoints(ms)
+	if out.Converged {
+		out.Uncounted = s.uncounted(ctx, ms)
+	}
 	return out, nil
 }
 
+const (
+	// maxRegistered bounds the registered nodes that are compared with the members.
+	maxRegistered = 10_000
+	// registeredTimeout bounds the read of the registered nodes.
+	registeredTimeout = time.Second
+)
+
+// uncounted returns the registered nodes that are not among the members alive or
+// suspect in ms, sorted. It returns none if the platform does not tell.
+func (s *Server) uncounted(ctx context.Context, ms []member.Member) []mesh.NodeID {
+	ctx, cancel := context.WithTimeout(ctx, registeredTimeout)
+	defer cancel()
+	rows, err := s.cfg.Platform.Nodes(ctx, maxRegistered)
+	if err != nil {
+		s.cfg.Log.Warn("registered nodes are not known; the status counts members only", zap.Error(err))
+		return nil
+	}
+	known := make(map[mesh.NodeID]bool, len(ms))
+	for i := range ms {
+		known[ms[i].ID] = ms[i].Status < member.Dead
+	}
+	var out []mesh.NodeID
+	for _, r := range rows {
+		if !known[r.ID] {
+			out = append(out, r.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func converged(zones []client.ZoneStatus) bool {
 	for _, z := range zones {
 		if z.Current < z.Members {
