--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -83,7 +83,7 @@
 	// asked does not know as members: they start, or are gone without a farewell. It is
 	// filled in once the members have converged.
 	Uncounted []mesh.NodeID `json:"uncounted,omitempty"`
-	Endpoints []Endpoint   `json:"endpoints"`
+	Endpoints []Endpoint    `json:"endpoints"`
 }
 
 // HistoryEntry is one accepted version.
