--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -7,19 +7,20 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
-// listen opens the listeners of the settings.
+// listen opens the listeners of the settings, and then that of the metrics. A node
+// whose metrics address is taken serves without it: the platform chooses all other ports
+// anew each day, and does not know this one.
 func (n *Node) listen(metrics string) error {
 	set := n.set.Load()
 	n.listeners = make(map[string]net.Listener)
 	var errs []error
 	for name, addr := range map[string]string{
-		"caller": set.Caller, "ready": set.Ready, "announce": set.Announce, "peer": set.Peer, "metrics": metrics,
+		"caller": set.Caller, "ready": set.Ready, "announce": set.Announce, "peer": set.Peer,
 	} {
-		if addr == "" {
-			continue
-		}
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("listen on %s: %w", name, err))
@@ -36,6 +37,15 @@
 		return err
 	}
 	n.idle.Listener = n.listeners["caller"]
+	if metrics == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", metrics)
+	if err != nil {
+		n.log.Error("metrics are not served", zap.Error(err))
+		return nil
+	}
+	n.listeners["metrics"] = l
 	return nil
 }
 
