Tell a slow answer of a watcher from a lost store

A configuration whose body came slowly from a watcher ended the wait as a silent watch of the store did, with the line store lost. It is a watcher asked in vain now. The fields of standing say that they hold answers of the store.

--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -245,8 +245,9 @@
 			}
 		case <-silent:
 			cancel()
-			if a := <-done; a.err == nil {
-				return a.c, a.pos, nil
+			a := <-done
+			if a.err == nil || errors.Is(a.err, errUpstream) {
+				return a.c, a.pos, a.err
 			}
 			return nil, 0, errSilent
 		case <-late:
@@ -295,7 +296,7 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	s.seen(time.Time{})
+	s.setAnswered(time.Time{})
 	if s.lost {
 		return
 	}
@@ -304,7 +305,7 @@
 }
 
 func (s *source) reached() {
-	s.seen(time.Now())
+	s.setAnswered(time.Now())
 	if s.lost {
 		s.log.Info("store regained", zap.Uint64("held", s.version.Load()))
 	}
--- a/internal/hosted/standing.go
+++ b/internal/hosted/standing.go
@@ -12,19 +12,18 @@
 // errNotFollowing says that this node cannot tell whether there is a newer version.
 var errNotFollowing = errors.New("the node does not follow the store")
 
-// standing is what a source tells the nodes that follow it. The zero value with a
-// channel is that of a source which has not reached the store.
+// standing is what a source tells the nodes that follow it.
 type standing struct {
-	mu      sync.Mutex
-	changed chan struct{} // closed by the next change of the version or of reached
-	reached time.Time     // last answer of the store, zero once a call failed
+	mu       sync.Mutex
+	changed  chan struct{} // closed by the next change of the version or loss of the store
+	answered time.Time     // last answer of the store, zero once a call failed
 }
 
-// seen records the time of an answer of the store, zero for none.
-func (s *standing) seen(at time.Time) {
+// setAnswered records the time of an answer of the store, zero for a failed call.
+func (s *standing) setAnswered(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reached = at
+	s.answered = at
 	if at.IsZero() {
 		s.signal()
 	}
@@ -47,7 +46,7 @@
 func (s *standing) state() (time.Time, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reached, s.changed
+	return s.answered, s.changed
 }
 
 // await waits until a version above held is in force or d has passed. It returns
@@ -58,11 +57,11 @@
 	// Between two answers of the store lie the gap, a watch and its grace.
 	fresh := time.Duration((gapShare+watchShare)*float64(s.rollout)) + watchGrace
 	for {
-		reached, changed := s.state()
+		answered, changed := s.state()
 		if s.version.Load() > uint64(held) {
 			return nil
 		}
-		left := fresh - time.Since(reached)
+		left := fresh - time.Since(answered)
 		if !s.watcher() || left <= 0 {
 			return errNotFollowing
 		}
