--- a/internal/trial/soak_test.go
+++ b/internal/trial/soak_test.go
@@ -58,14 +58,14 @@
 // backend servers see.
 type soak struct {
 	*hosted
-	way   *relay.Relay                 // to the store
+	way   *relay.Relay                 // from all nodes to the store
 	links map[*hostedNode]*relay.Relay // from each node to its backend server
 
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	busy    map[*hostedNode]bool // nil key: the store
 	spans   []*span
-	faults  []string // broken promises
+	broke   []string // promises that were broken
 	replies []soakReply
 	acked   []time.Time // of version i+1, which adds route /v<i+1>/
 }
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
 	asking, stopAsking := context.WithCancel(t.Context())
-	var callers, troubles sync.WaitGroup
+	var callers, faults sync.WaitGroup
 	for i := range soakCallers {
 		callers.Go(func() { s.call(asking, s.nodes[i%len(s.nodes)], i) })
 	}
@@ -118,19 +118,19 @@
 		callers.Go(func() { s.probe(asking, n) })
 	}
 	for range 3 {
-		troubles.Go(func() {
+		faults.Go(func() {
 			for ctx.Err() == nil {
-				s.trouble(ctx)
+				s.fault(ctx)
 				_ = wait.For(ctx, s.upTo(300*time.Millisecond))
 			}
 		})
 	}
-	troubles.Go(func() {
+	faults.Go(func() {
 		for version := 2; wait.For(ctx, s.upTo(1500*time.Millisecond)) == nil; version++ {
 			s.accept(version)
 		}
 	})
-	troubles.Wait()
+	faults.Wait()
 	s.recovers()
 	stopAsking()
 	callers.Wait()
@@ -177,7 +177,7 @@
 func (s *soak) broken(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = append(s.faults, fmt.Sprintf("%s "+format, append([]any{time.Now().Format("05.000")}, args...)...))
+	s.broke = append(s.broke, fmt.Sprintf("%s "+format, append([]any{time.Now().Format("05.000")}, args...)...))
 }
 
 // calm reports whether n and the store were without disturbance from since on.
@@ -326,8 +326,8 @@
 	return nil
 }
 
-// trouble plays one fault: of the store in one case of six, else of a node.
-func (s *soak) trouble(ctx context.Context) {
+// fault plays one fault: of the store in one case of six, else of a node.
+func (s *soak) fault(ctx context.Context) {
 	f := soakFaults[int(s.upTo(time.Duration(len(soakFaults))))]
 	n := s.nodes[int(s.upTo(time.Duration(len(s.nodes))))]
 	p := &span{fault: f.name, node: n, planned: f.planned, begin: time.Now()}
@@ -421,7 +421,7 @@
 		}
 	}
 	t.Logf("seed %d: %d faults, %d versions, answers by status %v", seed, len(s.spans), len(s.acked), counts)
-	if len(s.faults) == 0 {
+	if len(s.broke) == 0 {
 		require.Greater(t, counts[200], len(s.replies)/4)
 		return
 	}
@@ -435,7 +435,7 @@
 	for _, n := range s.nodes {
 		t.Logf("log of %s: %s", n.ip, n.process.Log)
 	}
-	require.Empty(t, s.faults, "seed %d", seed)
+	require.Empty(t, s.broke, "seed %d", seed)
 }
 
 // undisturbed reports whether nothing but planned work happened from stability before
