--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/standin/inject"
 	"lavenderrill.dev/lavenderrill/internal/wait"
 	"lavenderrill.dev/lavenderrill/platform"
@@ -173,7 +174,8 @@
 type reply struct {
 	status int // 0 if the connection ended without an answer
 	signed bool
-	again  string // Retry-After
+	kind   fault.Kind // of a refusal
+	again  string     // Retry-After
 	body   string
 	id     string
 }
@@ -208,6 +210,7 @@
 	}
 	r.status, r.body, r.again = resp.StatusCode, string(b), resp.Header.Get("Retry-After")
 	r.signed = resp.Header.Get("Lavenderrill-Response-Signature") != ""
+	r.kind = fault.Kind(resp.Header.Get(fault.KindHeader))
 	return r
 }
 
