Ask for the nodes that are not counted in a call of its own

The reads came out of the budget that the node needs itself, and a status waited for them while the platform was away.

--- a/cmd/lavenderrill/wait.go
+++ b/cmd/lavenderrill/wait.go
@@ -24,6 +24,9 @@
 	// platform and not yet members. Nodes join within a few seconds of their start;
 	// the rows of nodes that are gone without a farewell stay.
 	uncountedWait = 5 * time.Second
+	// uncountedPause is the time between two questions for them: each reads the
+	// platform.
+	uncountedPause = 500 * time.Millisecond
 )
 
 // unresolvedError says that a change may or may not have been accepted.
@@ -90,23 +93,52 @@
 	})
 }
 
+// convergence is the outcome of a wait for a version.
+type convergence struct {
+	client.Status
+	Uncounted []mesh.NodeID `json:"uncounted,omitempty"` // registered with the platform, and no members
+}
+
 // servedBy tells which nodes serve v, and which are not counted.
-func servedBy(v mesh.Version, s client.Status, took time.Duration) string {
-	t := fmt.Sprintf("accepted as version %d, served by all %d nodes after %v\n", v, members(s), took.Round(time.Millisecond))
-	if n := len(s.Uncounted); n > 0 {
-		t += fmt.Sprintf("not counted: %d nodes that are registered with the platform and cannot be reached: %v\n", n, s.Uncounted)
+func servedBy(v mesh.Version, c convergence, took time.Duration) string {
+	t := fmt.Sprintf("accepted as version %d, served by all %d nodes after %v\n", v, members(c.Status), took.Round(time.Millisecond))
+	if n := len(c.Uncounted); n > 0 {
+		t += fmt.Sprintf("not counted: %d nodes that are registered with the platform and cannot be reached: %v\n", n, c.Uncounted)
 	}
 	return t
 }
 
-// waitConverged asks for the status until all members serve v, and for a while until
-// all registered nodes are members. Progress goes to standard error.
-func waitConverged(ctx context.Context, cl *client.Client, v mesh.Version) (client.Status, error) {
-	last := -1
+// waitConverged waits until all members serve v, and for a while until all registered
+// nodes are members. Progress goes to standard error.
+func waitConverged(ctx context.Context, cl *client.Client, v mesh.Version) (convergence, error) {
 	begin := time.Now()
+	for {
+		s, err := waitMembers(ctx, cl, v)
+		if err != nil {
+			return convergence{Status: s}, err
+		}
+		ids, err := cl.Uncounted(ctx)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "the registered nodes are not known, members only are counted: %v\n", err)
+			return convergence{Status: s}, nil
+		}
+		if len(ids) == 0 || time.Since(begin) >= uncountedWait {
+			return convergence{s, ids}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return convergence{s, ids}, ctx.Err()
+		case <-time.After(uncountedPause):
+		}
+	}
+}
+
+// waitMembers asks for the status until all members serve v.
+func waitMembers(ctx context.Context, cl *client.Client, v mesh.Version) (client.Status, error) {
+	last := -1
 	for {
 		s, err := cl.Status(ctx, v)
-		if err == nil && s.Converged && (len(s.Uncounted) == 0 || time.Since(begin) >= uncountedWait) {
+		if err == nil && s.Converged {
 			return s, nil
 		}
 		if n := current(s); err == nil && n != last {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -63,6 +63,7 @@
 	mux.Handle("POST /v1/restore", serve(s, decodeBody[client.RestoreRequest], s.restore))
 	mux.Handle("POST /v1/explain", serve(s, decodeBody[client.ExplainRequest], s.explain))
 	mux.Handle("GET /v1/status", serve(s, decodeNumber("version"), s.status))
+	mux.Handle("GET /v1/uncounted", serve(s, decodeNothing, s.uncounted))
 	mux.Handle("GET /v1/history", serve(s, decodeNumber("limit"), s.history))
 	mux.Handle("GET /v1/documents", serve(s, decodeKey, s.documents))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
@@ -94,6 +95,8 @@
 	}
 }
 
+func decodeNothing(*http.Request) (struct{}, error) { return struct{}{}, nil }
+
 func decodeKey(r *http.Request) (config.DocumentKey, error) {
 	q, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
-
-	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
@@ -35,43 +32,33 @@
 	}
 	out.Zones = zones
 	out.Converged = converged(zones)
-	ms := s.cfg.Members()
-	out.Endpoints = endpoints(ms)
-	if out.Converged {
-		out.Uncounted = s.uncounted(ctx, ms)
-	}
+	out.Endpoints = endpoints(s.cfg.Members())
 	return out, nil
 }
 
-const (
-	// maxRegistered bounds the registered nodes that are compared with the members.
-	maxRegistered = 10_000
-	// registeredTimeout bounds the read of the registered nodes.
-	registeredTimeout = time.Second
-)
+// maxRegistered bounds the registered nodes that are compared with the members.
+const maxRegistered = 10_000
 
 // uncounted returns the registered nodes that are not among the members alive or
-// suspect in ms, sorted. It returns none if the platform does not tell.
-func (s *Server) uncounted(ctx context.Context, ms []member.Member) []mesh.NodeID {
-	ctx, cancel := context.WithTimeout(ctx, registeredTimeout)
-	defer cancel()
+// suspect, sorted. It is a call of its own, since callers poll the status and each read
+// of the platform takes from the budget that the node needs itself.
+func (s *Server) uncounted(ctx context.Context, _ struct{}) ([]mesh.NodeID, error) {
 	rows, err := s.cfg.Platform.Nodes(ctx, maxRegistered)
 	if err != nil {
-		s.cfg.Log.Warn("registered nodes are not known; the status counts members only", zap.Error(err))
-		return nil
+		return nil, err
 	}
-	known := make(map[mesh.NodeID]bool, len(ms))
-	for i := range ms {
-		known[ms[i].ID] = ms[i].Status < member.Dead
+	known := make(map[mesh.NodeID]bool)
+	for _, m := range s.cfg.Members() {
+		known[m.ID] = m.Status < member.Dead
 	}
-	var out []mesh.NodeID
+	out := make([]mesh.NodeID, 0)
 	for _, r := range rows {
 		if !known[r.ID] {
 			out = append(out, r.ID)
 		}
 	}
 	slices.Sort(out)
-	return out
+	return out, nil
 }
 
 func converged(zones []client.ZoneStatus) bool {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -83,6 +83,13 @@
 	return call[Status](ctx, c, http.MethodGet, "/v1/status?version="+strconv.FormatUint(uint64(v), 10), nil)
 }
 
+// Uncounted returns the nodes that are registered with the platform and that the node
+// asked does not know as members: they start, or are gone without a farewell. Each call
+// reads the platform.
+func (c *Client) Uncounted(ctx context.Context) ([]mesh.NodeID, error) {
+	return call[[]mesh.NodeID](ctx, c, http.MethodGet, "/v1/uncounted", nil)
+}
+
 // History returns the latest accepted versions, newest first, at most limit.
 func (c *Client) History(ctx context.Context, limit int) ([]HistoryEntry, error) {
 	return call[[]HistoryEntry](ctx, c, http.MethodGet, "/v1/history?limit="+strconv.Itoa(limit), nil)
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -79,11 +79,7 @@
 	Target    mesh.Version `json:"target"` // version that the zones are compared with
 	Converged bool         `json:"converged"`
 	Zones     []ZoneStatus `json:"zones"`
-	// Uncounted are nodes that are registered with the platform and that the node
-	// asked does not know as members: they start, or are gone without a farewell. It is
-	// filled in once the members have converged.
-	Uncounted []mesh.NodeID `json:"uncounted,omitempty"`
-	Endpoints []Endpoint    `json:"endpoints"`
+	Endpoints []Endpoint   `json:"endpoints"`
 }
 
 // HistoryEntry is one accepted version.
