Leave the node running in the undisturbed run of review case 2

The late heartbeat now arrives in both runs, so that the restart of the node is the only difference.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -19,6 +19,7 @@
 	stabilityWindow = 3 * time.Second // stability-window-ms
 	slack           = 300 * time.Millisecond
 
+	downTime      = 500 * time.Millisecond  // between the end of the process and the next start
 	leaveRetry    = 100 * time.Millisecond  // between two attempts of an endpoint to report that it leaves
 	heartbeatLate = 1500 * time.Millisecond // arrival of the late heartbeat after the leave was acknowledged
 	serveTime     = 9 * time.Second         // for which the endpoint serves on after the acknowledgement
@@ -64,17 +65,23 @@
 	harness.Sleep(ctx, time.Second)
 
 	// Planned work: the node beside the endpoint is stopped and started again.
-	restarted.Terminate()
+	if trouble {
+		d.Record.Printf("disruption: the node beside %s is stopped and started again", leaver.ID)
+		restarted.Terminate()
+	}
 	stopBeating()
 	<-beatsEnded
-	// This heartbeat is made while the node is down, before the endpoint leaves.
 	late, err := leaver.NewHeartbeat("ready")
 	if err != nil {
 		return nil, err
 	}
 	leaver.SetLeaving()
 	restartEnded := make(chan error, 1)
-	time.AfterFunc(500*time.Millisecond, func() { restartEnded <- restarted.Start(false) })
+	if trouble {
+		time.AfterFunc(downTime, func() { restartEnded <- restarted.Start(false) })
+	} else {
+		restartEnded <- nil
+	}
 	for !leaver.Leave(ctx) {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -87,10 +94,8 @@
 		return nil, err
 	}
 	harness.Sleep(ctx, heartbeatLate)
-	if trouble {
-		d.Record.Printf("disruption: the heartbeat that was made before the leave arrives now")
-		leaver.Deliver(ctx, late)
-	}
+	d.Record.Printf("the heartbeat that was made before the leave arrives now")
+	leaver.Deliver(ctx, late)
 	harness.Sleep(ctx, serveTime-heartbeatLate)
 	leaver.Stop()
 	harness.Sleep(ctx, time.Second)
