--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -20,7 +20,7 @@
 	ackTimeout        = time.Second
 )
 
-// Run is one run of a request at an endpoint.
+// Run is one run of a request at an endpoint, or its arrival there.
 type Run struct {
 	ID       string // of the request
 	Endpoint string
@@ -53,6 +53,7 @@
 	conns    map[net.Conn]struct{}
 	sequence int64
 	leaving  bool
+	arrivals []Run
 	runs     []Run
 	stopped  chan struct{}
 }
@@ -97,6 +98,13 @@
 	return append([]Run(nil), e.runs...)
 }
 
+// Arrivals returns the requests whose head has arrived so far.
+func (e *Endpoint) Arrivals() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.arrivals...)
+}
+
 // SetLeaving makes health checks fail, as those of an endpoint that is leaving.
 func (e *Endpoint) SetLeaving() {
 	e.mu.Lock()
@@ -133,6 +141,12 @@
 		if err != nil {
 			return
 		}
+		e.arrived(req)
+		if req.Header.Get("Expect") == "100-continue" {
+			if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return
+			}
+		}
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
@@ -142,9 +156,7 @@
 			}
 			continue
 		}
-		id := req.Header.Get("Lavenderrill-Request-Id")
-		e.rec.Printf("endpoint %s: %s arrives, expects %s, from %s", e.ID, id,
-			req.Header.Get("Lavenderrill-Expect-Instance"), req.Header.Get("Lavenderrill-Caller-Service"))
+		id := requestID(req)
 		if late != nil {
 			e.rec.Printf("endpoint %s: sends an answer a second time, before that to %s: %.12s", e.ID, id, late)
 			if _, err := c.Write(late); err != nil {
@@ -166,6 +178,20 @@
 	}
 }
 
+func requestID(req *http.Request) string { return req.Header.Get("Lavenderrill-Request-Id") }
+
+// arrived records that the head of a request has been read.
+func (e *Endpoint) arrived(req *http.Request) {
+	if req.URL.Path == healthPath {
+		return
+	}
+	e.rec.Printf("endpoint %s: %s arrives, expects %s, from %s", e.ID, requestID(req),
+		req.Header.Get("Lavenderrill-Expect-Instance"), req.Header.Get("Lavenderrill-Caller-Service"))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals = append(e.arrivals, Run{ID: requestID(req), Endpoint: e.ID, At: time.Now()})
+}
+
 func (e *Endpoint) health() []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
