Add a review case: an address that goes to another service keeps the work of the old one

Cause: Node.checkHealth takes over any instance that answers a health check and announces it with the service of the settings that the node holds. A request for the endpoint before triggers the check after the address has gone to an endpoint of another service.

--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -112,12 +112,28 @@
   blob-per-s: 80.0
 `
 
-// Start starts the process. Bootstrap is true at the first start of the whole system.
-func (n *Node) Start(bootstrap bool) error {
-	settings := n.d.path(n.Name + ".yaml")
+func (n *Node) settingsPath() string { return n.d.path(n.Name + ".yaml") }
+
+func (n *Node) writeSettings(bootstrap bool) error {
 	text := fmt.Sprintf(settingsFormat, n.Name, n.IP, n.Zone, n.addr(inboundPort), n.addr(outboundPort), n.addr(readyPort),
 		n.addr(controlPort), firstPeerPort, lastPeerPort, bootstrap, n.addr(endpointPort), n.Service, n.d.storeAddr)
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+	next := n.settingsPath() + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, n.settingsPath())
+}
+
+// Reassign changes the service in the settings file of a running node, without a signal.
+func (n *Node) Reassign(service string) error {
+	n.Service = service
+	n.d.Record.Printf("%s: the settings name the service %s now", n.Name, service)
+	return n.writeSettings(false)
+}
+
+// Start starts the process. Bootstrap is true at the first start of the whole system.
+func (n *Node) Start(bootstrap bool) error {
+	if err := n.writeSettings(bootstrap); err != nil {
 		return err
 	}
 	logPath := n.d.path(n.Name + ".log")
@@ -130,7 +146,7 @@
 	}
 	defer func() { _ = logFile.Close() }() // the process has its own descriptor
 	n.cmd = exec.Command(program, "hosted", "--metrics", n.addr(9464))
-	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LAVENDERRILL_NODE_FILE=" + settings}
+	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LAVENDERRILL_NODE_FILE=" + n.settingsPath()}
 	n.cmd.Stdout, n.cmd.Stderr = logFile, logFile
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	n.started = time.Now()
