--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,105 +1,134 @@
-// The program of case 4: an endpoint breaks off a part of its answers, among them answers
-// to unsafe requests that bear an entity tag.
+// The program of case 4: all processes are killed right after an endpoint has left, and a
+// heartbeat that the endpoint made before arrives late.
 package main
 
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/review/harness"
 )
 
 const (
-	requestRate = 76.9 // requests a second, as on the sheet of dunmesh
-	workTime    = 100 * time.Millisecond
-	deadline    = 5 * time.Second
-	bodyBytes   = 100 << 10
+	requestGap = 25 * time.Millisecond
+	workTime   = 180 * time.Millisecond
+	deadline   = 4 * time.Second
 
-	warmUp      = 3 * time.Second
-	garbleTime  = 5500 * time.Millisecond // garble, as in the site file
-	brokenEvery = 50                      // one of so many answers is broken off
-	tail        = 6 * time.Second         // until the last answers
+	drainTime       = 2 * time.Second // drain-ms
+	stabilityWindow = 3 * time.Second // stability-window-ms
+	slack           = 300 * time.Millisecond
+
+	killAfter     = 500 * time.Millisecond // the kill, after the leave was acknowledged
+	downTime      = time.Second
+	heartbeatLate = 3 * time.Second // arrival of the late heartbeat after it was made
+	serveTime     = 10 * time.Second
 )
 
 func main() { harness.Main(play) }
 
 func play(ctx context.Context, d *harness.Deployment, trouble bool) ([]string, error) {
 	nodes := []*harness.Node{
-		d.AddNode("side-a-1", "nordur-a", "lotbok"), d.AddNode("side-b-1", "nordur-b", "lotbok"),
-		d.AddNode("side-a-2", "nordur-a", "sendir"), d.AddNode("side-b-2", "nordur-b", "sendir"), d.AddNode("side-c-2", "nordur-c", "sendir"),
+		d.AddNode("side-a-1", "nordur-a", "lotbok"),
+		d.AddNode("side-b-1", "nordur-b", "flokkun"),
+		d.AddNode("side-c-1", "nordur-c", "flokkun"),
 	}
-	var garbled atomic.Bool
-	var count atomic.Int64 // answers of i-3 while it breaks off some
 	var endpoints []*harness.Endpoint
 	for i, n := range nodes {
 		e, err := d.AddEndpoint(n, fmt.Sprintf("i-%d", i+1), workTime)
 		if err != nil {
 			return nil, err
 		}
-		e.Answer = func(_ *http.Request, id string) (head, body []byte, keep bool) {
-			// One endpoint of three breaks off answers.
-			cut := n == nodes[2] && garbled.Load() && count.Add(1)%brokenEvery == 0
-			return answer(e, id, cut)
-		}
 		endpoints = append(endpoints, e)
 	}
-	if err := d.Configure(7, []string{"lotbok", "sendir"}, []harness.Route{
-		{Host: "hulo84.example", Prefix: "/xapu221/", Service: "sendir", Type: "unsafe", TargetMS: 800, TimeoutMS: 5000, Attempts: 2, Priority: 1},
+	leaver := endpoints[1]
+	if err := d.Configure(7, []string{"lotbok", "flokkun"}, []harness.Route{
+		{Host: "jepu9.example", Prefix: "/fiti832/", Service: "flokkun", Type: "safe", TargetMS: 600, TimeoutMS: 4000, Attempts: 2, Priority: 1},
 	}); err != nil {
 		return nil, err
 	}
 	if err := d.StartAll(ctx); err != nil {
 		return nil, err
 	}
-	for _, e := range endpoints {
-		go e.Beat(ctx)
-	}
-	harness.Sleep(ctx, 2*time.Second)
-	if trouble {
-		time.AfterFunc(warmUp, func() {
-			d.Record.Printf("disruption: i-3 breaks off a part of its answers")
-			garbled.Store(true)
-		})
-		time.AfterFunc(warmUp+garbleTime, func() { garbled.Store(false) })
+	go endpoints[0].Beat(ctx)
+	go endpoints[2].Beat(ctx)
+	beating, stopBeating := context.WithCancel(ctx)
+	defer stopBeating()
+	beatsEnded := make(chan struct{})
+	go func() {
+		leaver.Beat(beating)
+		close(beatsEnded)
+	}()
+	harness.Sleep(ctx, stabilityWindow+time.Second)
+	sending, stopSending := context.WithCancel(ctx)
+	defer stopSending()
+	go send(sending, nodes[0])
+	harness.Sleep(ctx, time.Second)
+
+	stopBeating()
+	<-beatsEnded
+	late, err := leaver.NewHeartbeat("ready")
+	if err != nil {
+		return nil, err
 	}
-	var pending sync.WaitGroup
-	for end := time.Now().Add(warmUp + garbleTime + time.Second); time.Now().Before(end) && ctx.Err() == nil; {
-		n := nodes[rand.IntN(len(nodes))]
-		pending.Go(func() {
-			n.Send(ctx, harness.Request{Method: "GET", Host: "hulo84.example", Path: "/xapu221/next-number", Deadline: deadline})
-		})
-		harness.Sleep(ctx, time.Duration(rand.ExpFloat64()/requestRate*float64(time.Second)))
+	made := time.Now()
+	leaver.SetLeaving()
+	if !leaver.Leave(ctx) {
+		return nil, fmt.Errorf("the leave of %s is not acknowledged", leaver.ID)
 	}
-	pending.Wait()
-	harness.Sleep(ctx, tail)
-	runs := make(map[string][]string)
-	for _, e := range endpoints {
-		for _, r := range e.Runs() {
-			runs[r.ID] = append(runs[r.ID], r.Endpoint)
+	acked := time.Now()
+	harness.Sleep(ctx, killAfter)
+	var started time.Time
+	if trouble {
+		d.Record.Printf("disruption: all processes are killed at the same moment")
+		for _, n := range nodes {
+			n.Kill()
+		}
+		harness.Sleep(ctx, downTime)
+		started = time.Now()
+		for _, n := range nodes {
+			if err := n.Start(false); err != nil {
+				return nil, err
+			}
 		}
 	}
+	harness.Sleep(ctx, time.Until(made.Add(heartbeatLate)))
+	d.Record.Printf("the heartbeat that was made before the leave arrives now")
+	leaver.Deliver(ctx, late)
+	harness.Sleep(ctx, time.Until(acked.Add(serveTime)))
+	leaver.Stop()
+	harness.Sleep(ctx, time.Second)
+	stopSending()
+	harness.Sleep(ctx, time.Second)
+
+	// A request must not arrive later than drain-ms after the acknowledgement. It counts
+	// where the machines are in touch again.
+	from := acked.Add(drainTime)
+	if t := started.Add(stabilityWindow); t.After(from) {
+		from = t
+	}
+	from = from.Add(slack)
 	var out []string
-	for id, rs := range runs {
-		if len(rs) > 1 {
-			out = append(out, fmt.Sprintf("TWICE: unsafe request %s has run at %v", id, rs))
+	for _, r := range leaver.Runs() {
+		if r.At.After(from) {
+			out = append(out, fmt.Sprintf("DRAIN: request %s reached %s %.2f s after its leave was acknowledged",
+				r.ID, r.Endpoint, r.At.Sub(acked).Seconds()))
 		}
 	}
 	return out, ctx.Err()
 }
 
-// answer returns a whole answer with an entity tag, or one that breaks off in the middle of
-// its body.
-func answer(e *harness.Endpoint, id string, cut bool) (head, body []byte, keep bool) {
-	head = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nLavenderrill-Request-Id: %s\r\nLavenderrill-Response-Signature: %s\r\n"+
-		"ETag: \"%s\"\r\nContent-Length: %d\r\n\r\n", id, e.Signature(id), id, bodyBytes)
-	body = make([]byte, bodyBytes)
-	if cut {
-		return head, body[:bodyBytes/2], false
+// send sends requests until ctx ends.
+func send(ctx context.Context, n *harness.Node) {
+	t := time.NewTicker(requestGap)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		go n.Send(context.WithoutCancel(ctx), harness.Request{
+			Method: "GET", Host: "jepu9.example", Path: "/fiti832/certificate", Deadline: deadline,
+		})
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
 	}
-	return head, body, true
 }
