--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,10 +1,12 @@
-// The program of case 4: all processes are killed right after an endpoint has left, and a
-// heartbeat that the endpoint made before arrives late.
+// The program of case 4: all processes are killed soon after an endpoint has left, and a
+// heartbeat that the endpoint made before arrives late. With KILL=one only the process
+// beside the endpoint is killed, as soon as it has acknowledged the leave.
 package main
 
 import (
 	"context"
 	"fmt"
+	"os"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/review/harness"
@@ -77,16 +79,21 @@
 		return nil, fmt.Errorf("the leave of %s is not acknowledged", leaver.ID)
 	}
 	acked := time.Now()
-	harness.Sleep(ctx, killAfter)
+	killed := nodes
+	if os.Getenv("KILL") == "one" {
+		killed = nodes[1:2]
+	} else {
+		harness.Sleep(ctx, killAfter)
+	}
 	var started time.Time
 	if trouble {
-		d.Record.Printf("disruption: all processes are killed at the same moment")
-		for _, n := range nodes {
+		d.Record.Printf("disruption: %d of %d processes are killed", len(killed), len(nodes))
+		for _, n := range killed {
 			n.Kill()
 		}
 		harness.Sleep(ctx, downTime)
 		started = time.Now()
-		for _, n := range nodes {
+		for _, n := range killed {
 			if err := n.Start(false); err != nil {
 				return nil, err
 			}
