Log on which connection a backend server's answer came, and whose id it bore

The logs of the incident cannot tell a rejection of the request itself from a rejection of another request that arrived on its connection, nor either from a refusal that the node made up: they name neither the connection, nor the requests that it carried, nor the id in the answer.

hop.Transport now returns an Exchange with the number of the connection, the requests that it has carried and the bytes that came before the request was written. The gate logs it with the status and the id of the answer, and counts answers in gate_answers by the request that they name. No decision changes.

--- a/internal/backend/metrics.go
+++ b/internal/backend/metrics.go
@@ -26,6 +26,7 @@
 	refused            *expvar.Map // by kind
 	refusedByAdmission *expvar.Map // refusals of admission, by cause
 	unknownRank        *expvar.Int // requests of a rank that the configuration lacks
+	answers            *expvar.Map // responses of the backend server, by the request that they name
 	endpoint           *expvar.Map // state changes, by new state
 	leaseExpiries      *expvar.Int
 	aborted            *expvar.Int // responses that were not sent completely
@@ -41,6 +42,7 @@
 		refused:            r.CounterGroup("gate_refused"),
 		refusedByAdmission: r.CounterGroup("gate_refused_by_admission"),
 		unknownRank:        r.Counter("gate_unknown_rank"),
+		answers:            r.CounterGroup("gate_answers"),
 		endpoint:           r.CounterGroup("gate_endpoint"),
 		leaseExpiries:      r.Counter("gate_lease_expired"),
 		aborted:            r.Counter("gate_aborted"),
@@ -65,6 +67,23 @@
 	}
 }
 
+// recordAnswer counts the response to c by the request that it names. Responses that
+// state that the request did not run are counted apart.
+func (m *metrics) recordAnswer(c *call, notRun bool) {
+	key := "own_id"
+	switch c.answeredID {
+	case string(c.id):
+	case "":
+		key = "no_id"
+	default:
+		key = "other_id"
+	}
+	if notRun {
+		key = "not_run_" + key
+	}
+	m.answers.Add(key, 1)
+}
+
 // rankHistograms holds a histogram of durations for each rank.
 type rankHistograms struct {
 	mu     sync.Mutex
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -36,8 +36,11 @@
 	bulk     bool
 	latency  time.Duration // time to the response header, 0 if it does not indicate load
 
-	mayHaveRun bool // the backend server may have received the request
-	refused    bool // the backend server reported that it did not run the request
+	exchange   hop.Exchange
+	status     int    // of the response of the backend server, 0 if there was none
+	answeredID string // request that the response names
+	mayHaveRun bool   // the backend server may have received the request
+	refused    bool   // the backend server reported that it did not run the request
 
 	onNotRun func() // called before a response that reports not run; may be nil
 }
@@ -426,10 +429,11 @@
 		f(out.Header, c.instance)
 	}
 	start := time.Now()
-	resp, sent, err := c.pools.TransportFor(c.bulk).RoundTrip(ctx, out)
-	c.mayHaveRun = err == nil || sent == hop.MayHaveRun
+	resp, x, err := c.pools.TransportFor(c.bulk).RoundTrip(ctx, out)
+	c.exchange = x
+	c.mayHaveRun = x.Sent == hop.MayHaveRun
 	if err != nil {
-		return nil, g.roundTripRefusal(ctx, c, sent, err)
+		return nil, g.roundTripRefusal(ctx, c, x.Sent, err)
 	}
 	if resp.StatusCode < http.StatusInternalServerError {
 		// Errors return faster than completed work and would set a baseline
@@ -468,18 +472,22 @@
 
 // checkResponse returns resp, or a refusal if resp is not a valid response to c.
 func (g *Gate) checkResponse(c *call, resp *http.Response) (*http.Response, *fault.Error) {
+	var e *fault.Error
 	if f := g.conf.Dialect.Response; f != nil {
-		if e := f(resp); e != nil {
-			c.refused = e.Run == fault.NotRun
-			resp.Body.Close()
-			return nil, e
-		}
+		e = f(resp)
+	}
+	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
+	g.metrics.recordAnswer(c, e != nil && e.Run == fault.NotRun || statesNotRun(resp))
+	if e != nil {
+		c.refused = e.Run == fault.NotRun
+		resp.Body.Close()
+		return nil, e
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		resp.Body.Close()
 		return nil, fault.New(fault.OutcomeUnknown, "the backend server switched protocols")
 	}
-	if id := resp.Header.Get(mesh.RequestHeader); id != "" && id != string(c.id) {
+	if id := c.answeredID; id != "" && id != string(c.id) {
 		resp.Body.Close()
 		// The transport keeps the connection if the body was empty, although the answer
 		// to c is still to come on it.
@@ -490,6 +498,12 @@
 	return resp, nil
 }
 
+// statesNotRun reports whether resp, with the headers of the mesh, states that the
+// backend server did not run the request.
+func statesNotRun(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(fault.RunHeader) == string(fault.NotRun)
+}
+
 // writeResponse writes resp to w. It panics with http.ErrAbortHandler if the body
 // is truncated.
 func (g *Gate) writeResponse(w http.ResponseWriter, c *call, resp *http.Response) {
@@ -502,7 +516,7 @@
 	h := resp.Header
 	h.Del(mesh.PressureHeader)
 	h.Del(mesh.LoadHeader)
-	if resp.StatusCode == http.StatusServiceUnavailable && h.Get(fault.RunHeader) == string(fault.NotRun) {
+	if statesNotRun(resp) {
 		if h.Get(fault.KindHeader) == "" {
 			h.Set(fault.KindHeader, string(fault.Overloaded))
 		}
@@ -547,10 +561,16 @@
 	inFlight, queued, limit := g.machine.InFlight(), g.machine.Queued(), g.machine.Limit(now)
 	state, instance := g.endpointState(), g.endpoint.instance
 	g.mu.Unlock()
-	ce.Write(zap.String("request", string(c.id)), zap.String("attempt", c.attempt), zap.String("run", string(e.Run)),
+	fields := []zap.Field{
+		zap.String("request", string(c.id)), zap.String("attempt", c.attempt), zap.String("run", string(e.Run)),
 		zap.String("reason", e.Reason), zap.String("rank", string(c.Rank)), zap.String("service", string(c.service)),
 		zap.Duration("left", c.Deadline.Sub(now)), zap.Int("in_flight", inFlight), zap.Int("queued", queued),
-		zap.Int("limit", limit), zap.Stringer("endpoint", state), zap.String("instance", string(instance)))
+		zap.Int("limit", limit), zap.Stringer("endpoint", state), zap.String("instance", string(instance)),
+	}
+	if c.exchange.Conn != 0 {
+		fields = append(fields, zap.Object("connection", c.exchange), zap.Int("status", c.status), zap.String("answered", c.answeredID))
+	}
+	ce.Write(fields...)
 }
 
 // setLoadHeaders sets the headers that report the pressure and the load of the
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -27,6 +27,7 @@
 	number   int
 	started  time.Time
 	latency  time.Duration // until the response header
+	exchange hop.Exchange
 
 	resp       *http.Response
 	fault      *fault.Error
@@ -42,12 +43,13 @@
 		r = q.body.open()
 	}
 	out := c.outgoing(q, a, r)
-	resp, sent, err := c.cfg.Pools.TransportFor(q.route.Policy.Bulk).RoundTrip(ctx, out)
+	resp, x, err := c.cfg.Pools.TransportFor(q.route.Policy.Bulk).RoundTrip(ctx, out)
+	a.exchange = x
 	a.latency = time.Since(a.started)
 	a.replayable = r == nil || r.seal()
 	var outcome route.Outcome
 	if err != nil {
-		outcome = c.classifyError(ctx, q, a, sent, err)
+		outcome = c.classifyError(ctx, q, a, x.Sent, err)
 	} else {
 		outcome = c.classifyResponse(q, a, resp)
 	}
@@ -233,7 +235,7 @@
 	c.cfg.Metrics.InvariantBroken("request_id")
 	c.cfg.Log.Error("response carries another request id",
 		zap.String("request", string(q.id)), zap.String("got", got),
-		zap.String("endpoint", string(a.endpoint.ID)))
+		zap.String("endpoint", string(a.endpoint.ID)), zap.Object("connection", a.exchange))
 	c.cfg.Pools.CloseIdle()
 	a.fault = fault.New(fault.OutcomeUnknown, "endpoint answered another request")
 }
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -103,7 +103,8 @@
 	if ce := c.cfg.Log.Check(zap.InfoLevel, "attempt failed: "+string(a.fault.Kind)); ce != nil {
 		ce.Write(zap.String("request", string(q.id)), zap.String("endpoint", string(a.endpoint.ID)),
 			zap.Int("attempt", a.number), zap.String("run", string(a.fault.Run)), zap.String("reason", a.fault.Reason),
-			zap.Duration("took", now.Sub(a.started)), zap.String("verdict", string(v.Reason)))
+			zap.Duration("took", now.Sub(a.started)), zap.String("verdict", string(v.Reason)),
+			zap.Object("connection", a.exchange))
 	}
 	return v.Action == retry.Retry
 }
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -10,19 +10,41 @@
 // errAborted is returned by writes to an aborted connection.
 var errAborted = errors.New("hop: connection was aborted")
 
-// conn counts the bytes written to a connection and can be aborted.
+// conn counts the bytes of a connection and can be aborted.
 //
 // A write counts its bytes before it checks the aborted flag, and abort sets the
 // flag before it reads the count. So a write that abort did not count sees the
 // flag and fails, without a lock on the write path.
 type conn struct {
 	net.Conn
+	id      ConnID
 	written atomic.Int64
 	aborted atomic.Bool
+
+	requests atomic.Int64 // requests that were assigned to the connection
+	waiting  atomic.Bool  // a request is assigned, and none of its bytes is written
+	early    atomic.Int64 // bytes received while waiting, for the current request
+}
+
+// begin records that a request was assigned to c and returns its number.
+func (c *conn) begin() int64 {
+	c.early.Store(0)
+	c.waiting.Store(true)
+	return c.requests.Add(1)
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.waiting.Load() {
+		c.early.Add(int64(n))
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	c.waiting.Store(false)
 	c.written.Add(int64(len(p)))
 	if c.aborted.Load() {
 		return 0, errAborted
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -124,7 +124,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: nc}, nil
+		return &conn{Conn: nc, id: ConnID(lastConnID.Add(1))}, nil
 	}
 }
 
@@ -135,18 +135,21 @@
 //
 // The body of req is wrapped, so that net/http cannot replay it; req must not
 // be used again. A body of at most 4 KiB is read before anything is sent.
-func (t *Transport) RoundTrip(ctx context.Context, req *http.Request) (*http.Response, SendStatus, error) {
+func (t *Transport) RoundTrip(ctx context.Context, req *http.Request) (*http.Response, Exchange, error) {
 	var tracker connTracker
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	if err := makeSingleUse(req); err != nil {
-		return nil, NothingSent, err
+		return nil, Exchange{Sent: NothingSent}, err
 	}
 	resp, err := t.base.RoundTrip(req)
+	x := tracker.exchange()
 	if err != nil {
-		return nil, tracker.abort(), err
+		x.Sent = tracker.abort()
+		return nil, x, err
 	}
-	return resp, MayHaveRun, nil
+	x.Sent = MayHaveRun
+	return resp, x, nil
 }
 
 // CloseIdle closes the connections that carry no request.
@@ -157,6 +160,7 @@
 	mu         sync.Mutex
 	conn       *conn
 	startBytes int64 // bytes written to conn before this request
+	requests   int64 // requests that conn has carried, this one included
 	multiple   bool  // more than one connection was used
 }
 
@@ -168,7 +172,17 @@
 		t.multiple = true
 		return
 	}
-	t.conn, t.startBytes = c, c.written.Load()
+	t.conn, t.startBytes, t.requests = c, c.written.Load(), c.begin()
+}
+
+// exchange returns what is known of the connection.
+func (t *connTracker) exchange() Exchange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return Exchange{}
+	}
+	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.conn.early.Load()}
 }
 
 // abort aborts the connection of a failed request and reports whether the request
--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -17,13 +18,13 @@
 
 // exchange sends req and reads the response to its end.
 func exchange(ctx context.Context, tr *Transport, req *http.Request) (SendStatus, error) {
-	resp, sent, err := tr.RoundTrip(ctx, req)
+	resp, x, err := tr.RoundTrip(ctx, req)
 	if err != nil {
-		return sent, err
+		return x.Sent, err
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
-	return sent, err
+	return x.Sent, err
 }
 
 // TestNoReplay guards against net/http replaying a request by itself after a
@@ -123,3 +124,43 @@
 		require.False(t, ran, "request %s ran but was reported as not sent", path)
 	}
 }
+
+// TestExchange guards against a log that cannot show on which connection a response
+// came, how many requests it has carried, and that bytes came before the request.
+func TestExchange(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	client, server := net.Pipe()
+	defer server.Close()
+	tr := New(Config{Dial: func(context.Context, string, string) (net.Conn, error) { return client, nil }})
+	defer tr.CloseIdle()
+	go func() {
+		for range 2 {
+			if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(server, response)
+		}
+	}()
+	roundTrip := func() Exchange {
+		req, err := http.NewRequest(http.MethodGet, "http://backend.example/", nil)
+		require.NoError(t, err)
+		resp, x, err := tr.RoundTrip(t.Context(), req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		return x
+	}
+	first, second := roundTrip(), roundTrip()
+	require.NotZero(t, first.Conn)
+	require.Equal(t, Exchange{Conn: first.Conn, Requests: 1}, first)
+	require.Equal(t, Exchange{Conn: first.Conn, Requests: 2}, second)
+
+	peer, sender := net.Pipe()
+	defer sender.Close()
+	c := &conn{Conn: peer}
+	defer c.Close()
+	c.begin()
+	go func() { _, _ = io.WriteString(sender, "early") }() // fails if the read below did
+	_, err := c.Read(make([]byte, 16))
+	require.NoError(t, err)
+	require.EqualValues(t, 5, c.early.Load())
+}
