Know whose a backend server's answer is before believing that it did not run the request

Cause: on the platform a backend server states with a header or with 421 that it did not run a request. The gate read this statement before it compared the request that the answer names. A late copy of an earlier rejection on a kept connection so counted as the rejection of the request that ran there. It was repeated elsewhere while the retry budget lasted and refused with 503 otherwise. A rejection without a body also left the connection in the pool with an answer still to come. With the headers of the mesh the same happened if the copy named no request.

Change: the platform's headers are translated first and decide nothing. The gate then checks in one place, checkOwner, that the answer names this request and began after it was sent; a rejection that names none is believed only on a connection that has carried no other request. Only then the statement is read. An answer that is not the request's own ends its connection, and no other one. A success that also states that the request did not run is outcome_unknown.

gate_request_id_mismatch is counted in gate_answers now: it does not show a fault of the node.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -96,9 +96,14 @@
 	// Request modifies the header of a request to the backend server. Instance is
 	// the announced instance at its address, "" if unknown.
 	Request func(h http.Header, instance mesh.Instance)
-	// Response modifies a response of the backend server. If it returns a
-	// refusal, that replaces the response.
-	Response func(*http.Response) *fault.Error
+	// Response modifies the header of a response of the backend server. What the
+	// response states is not believed before its owner is known.
+	Response func(*http.Response)
+	// Refusal returns the refusal that replaces a modified response to the request
+	// itself, or nil.
+	Refusal func(*http.Response) *fault.Error
+	// EchoesID means that backend servers name the request in each response.
+	EchoesID bool
 }
 
 // Gate admits requests to the backend server of one node and forwards them. It is
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -472,34 +472,34 @@
 
 // checkResponse returns resp, or a refusal if resp is not a valid response to c.
 func (g *Gate) checkResponse(c *call, resp *http.Response) (*http.Response, *fault.Error) {
-	var e *fault.Error
 	if f := g.conf.Dialect.Response; f != nil {
-		e = f(resp)
+		f(resp)
 	}
 	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
-	g.metrics.recordAnswer(c, e != nil && e.Run == fault.NotRun || statesNotRun(resp))
-	if e != nil {
-		c.refused = e.Run == fault.NotRun
+	notRun := fault.RunState(resp.Header.Get(fault.RunHeader)) == fault.NotRun
+	g.metrics.recordAnswer(c, notRun)
+	if e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun || g.conf.Dialect.EchoesID); e != nil {
 		resp.Body.Close()
+		// The answer to c may still be to come.
+		c.exchange.Abort()
 		return nil, e
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		resp.Body.Close()
 		return nil, fault.New(fault.OutcomeUnknown, "the backend server switched protocols")
 	}
-	if id := c.answeredID; id != "" && id != string(c.id) {
-		resp.Body.Close()
-		// The transport keeps the connection if the body was empty, although the answer
-		// to c is still to come on it.
-		c.pools.CloseIdle()
-		g.metrics.registry.InvariantBroken("gate_request_id_mismatch")
-		return nil, fault.New(fault.OutcomeUnknown, "the backend server answered another request")
+	if f := g.conf.Dialect.Refusal; f != nil {
+		if e := f(resp); e != nil {
+			c.refused = e.Run == fault.NotRun
+			resp.Body.Close()
+			return nil, e
+		}
 	}
 	return resp, nil
 }
 
-// statesNotRun reports whether resp, with the headers of the mesh, states that the
-// backend server did not run the request.
+// statesNotRun reports whether resp is a refusal of a backend server that uses the
+// headers of the mesh.
 func statesNotRun(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(fault.RunHeader) == string(fault.NotRun)
 }
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -228,15 +228,13 @@
 	return route.Success
 }
 
-// handleIDMismatch handles a response with another request id. The transport
-// keeps the connection if the body was empty, so all idle connections are
-// closed.
+// handleIDMismatch handles a response with another request id.
 func (c *Caller) handleIDMismatch(q *call, a *attempt, got string) {
 	c.cfg.Metrics.InvariantBroken("request_id")
 	c.cfg.Log.Error("response carries another request id",
 		zap.String("request", string(q.id)), zap.String("got", got),
 		zap.String("endpoint", string(a.endpoint.ID)), zap.Object("connection", a.exchange))
-	c.cfg.Pools.CloseIdle()
+	a.exchange.Abort() // the answer to q may still be to come
 	a.fault = fault.New(fault.OutcomeUnknown, "endpoint answered another request")
 }
 
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -21,6 +21,16 @@
 	// assigned to the request and before any of the request was written. They
 	// belong to no answer to it.
 	Early int64
+
+	conn *conn
+}
+
+// Abort closes the connection, so that no later request gets an answer that is still
+// to come on it.
+func (x Exchange) Abort() {
+	if x.conn != nil {
+		x.conn.abort()
+	}
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -182,7 +182,7 @@
 	if t.conn == nil {
 		return Exchange{}
 	}
-	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.conn.early.Load()}
+	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.conn.early.Load(), conn: t.conn}
 }
 
 // abort aborts the connection of a failed request and reports whether the request
--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -185,15 +185,14 @@
 	}
 }
 
-// translateResponse translates a response of the backend server. A response that shows
-// another instance at the address triggers a health check.
-func (n *Node) translateResponse(r *http.Response) *fault.Error {
-	e := platform.TranslateResponse(r)
+// responseRefusal returns the refusal that replaces a response of the backend server. A
+// response that shows another instance at the address triggers a health check.
+func (n *Node) responseRefusal(r *http.Response) *fault.Error {
 	if r.StatusCode == http.StatusMisdirectedRequest {
 		select {
 		case n.recheck <- struct{}{}:
 		default:
 		}
 	}
-	return e
+	return platform.ResponseRefusal(r)
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -184,7 +184,7 @@
 		Snapshot: n.snapshot,
 		// n.peer is read in the call: the gate is built before the peer.
 		OnEndpointChange: func(s mesh.Service, slots int, e member.EndpointState) { n.peer.SetEndpoint(s, slots, e) },
-		Dialect:          backend.Dialect{Request: platform.TranslateRequest, Response: n.translateResponse},
+		Dialect:          backend.Dialect{Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: n.responseRefusal, EchoesID: true},
 		Lease:            leaseHeartbeats * set.Heartbeat,
 		Paused:           n.pauses.Recent,
 		Pacer:            n.pacer,
