Write messages of net/http to the log of a hosted node

The transport reports bytes that arrive on an idle connection, such as a late copy of an answer, with the standard logger, which wrote to standard error: not structured, not sampled and without a bound.

--- a/cmd/lavenderrill/hosted.go
+++ b/cmd/lavenderrill/hosted.go
@@ -40,6 +40,7 @@
 				fmt.Fprintf(os.Stderr, "lavenderrill: write log: %v\n", err)
 			}
 		}()
+		defer logging.RedirectStandard(log)()
 		path := os.Getenv(platform.SettingsEnv)
 		if path == "" {
 			return fault.New(fault.Settings, platform.SettingsEnv+" is not set")
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"log"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // slowWriter blocks each write until release is closed.
@@ -96,3 +98,18 @@
 	require.NoError(t, err)
 	require.Empty(t, ls)
 }
+
+// TestRedirectStandard guards against messages of the standard library that are lost,
+// or that fill the log.
+func TestRedirectStandard(t *testing.T) {
+	var b bytes.Buffer
+	restore := RedirectStandard(zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&b), zap.InfoLevel)))
+	log.Printf("Unsolicited response %q", "HTTP/1.1 200 OK")
+	log.Print(strings.Repeat("x", 10_000))
+	restore()
+	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], "Unsolicited response")
+	require.Less(t, len(lines[1]), 2*maxStandardBytes)
+	require.Contains(t, lines[1], `"length":10000`)
+}
