Ignore a health check's answer that a later report overtook

What callers could see: a backend server that had announced its leave, and whose leave was acknowledged, got work again; or the current instance was withdrawn for an earlier one.

Cause: the answer to a health check was compared with the state at its arrival only. A leave message or the heartbeat of the next instance that came while the check was in flight was overridden by the older answer.

Now the answer counts only if the instance has not left and was not replaced since the check was sent.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -79,6 +79,9 @@
 func (n *Node) handleLeave(id mesh.Instance, born int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.leftDuringCheck != nil {
+		n.leftDuringCheck[id] = struct{}{}
+	}
 	if n.instance.recordLeave(id, born) {
 		n.pendingAnnounce = nil
 		n.gate.Withdraw()
@@ -158,14 +161,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
+	n.mu.Lock()
+	asked := n.instance.id
+	n.leftDuringCheck = make(map[mesh.Instance]struct{})
+	n.mu.Unlock()
 	id, err := platform.CheckHealth(ctx, set.Backend, path)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, left := n.leftDuringCheck[id]
+	n.leftDuringCheck = nil
 	if err != nil {
 		n.log.Info("health check of the backend server failed; waiting for its heartbeat", zap.Error(err))
 		return
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	before := n.instance.id
+	if left || before != asked && before != id {
+		// The instance may have answered before it left or was replaced.
+		n.log.Info("ignored the answer to a health check that a later report overtook",
+			zap.String("instance", string(id)), zap.String("known", string(before)), zap.Bool("left", left))
+		return
+	}
 	if f := n.unconfirmed; f != nil && id == before {
 		n.unconfirmed = nil
 		if err := f(); err != nil {
--- a/internal/hosted/announce_test.go
+++ b/internal/hosted/announce_test.go
@@ -61,6 +61,82 @@
 	require.NoError(t, <-ended)
 }
 
+// TestOvertakenHealthCheck guards against a health check whose answer overrides a leave
+// message or a heartbeat that arrived after the check was sent.
+func TestOvertakenHealthCheck(t *testing.T) {
+	for name, c := range map[string]struct {
+		known     []platform.Heartbeat // before the check
+		overtakes func(n *Node)
+		id        mesh.Instance // that the gate has afterwards
+		state     member.EndpointState
+	}{
+		"unknown instance leaves": {
+			overtakes: func(n *Node) { n.handleLeave("a", 1) },
+			state:     member.NoEndpoint,
+		},
+		"next instance reports": {
+			known: []platform.Heartbeat{{Instance: "b", Sequence: 1, Born: 0}},
+			overtakes: func(n *Node) {
+				require.NoError(t, n.handleHeartbeat(report(n, platform.Heartbeat{Instance: "c", Sequence: 1, Born: 2})))
+			},
+			id: "c", state: member.Ready,
+		},
+		"next instance reports and leaves": {
+			known: []platform.Heartbeat{{Instance: "b", Sequence: 1, Born: 0}},
+			overtakes: func(n *Node) {
+				require.NoError(t, n.handleHeartbeat(report(n, platform.Heartbeat{Instance: "c", Sequence: 2, Born: 2})))
+				n.handleLeave("c", 2)
+				require.NoError(t, n.handleHeartbeat(report(n, platform.Heartbeat{Instance: "c", Sequence: 1, Born: 2})))
+			},
+			state: member.NoEndpoint,
+		},
+		"reports itself": {
+			overtakes: func(n *Node) {
+				require.NoError(t, n.handleHeartbeat(report(n, platform.Heartbeat{Instance: "a", Sequence: 1, Born: 1})))
+			},
+			id: "a", state: member.Ready,
+		},
+		"nothing": {overtakes: func(*Node) {}, id: "a", state: member.Ready},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked, answer := make(chan struct{}), make(chan struct{})
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				close(asked)
+				<-answer
+				w.Header().Set("Lavenderrill-Instance-Id", "a")
+			}))
+			defer s.Close()
+			n := &Node{log: zap.NewNop(), recheck: make(chan struct{}, 1)}
+			n.nodeSettings.Store(&settings.Hosted{Service: "s", Backend: mesh.Addr(s.Listener.Addr().String()), FirstStart: true})
+			n.config.Store(&platform.Config{Snapshot: &config.Snapshot{}})
+			n.gate = backend.New(backend.Config{Snapshot: n.snapshot})
+			for _, b := range c.known {
+				require.NoError(t, n.handleHeartbeat(report(n, b)))
+			}
+			ended := make(chan struct{})
+			go func() {
+				n.checkHealth(t.Context())
+				close(ended)
+			}()
+			<-asked
+			c.overtakes(n)
+			close(answer)
+			<-ended
+			require.Equal(t, c.state, n.gate.Status().State)
+			if c.id != "" {
+				require.Equal(t, c.id, n.instance.id)
+			}
+		})
+	}
+}
+
+// report completes b with what the heartbeats of the backend server of n have in common.
+func report(n *Node, b platform.Heartbeat) platform.Heartbeat {
+	set := n.nodeSettings.Load()
+	b.Service, b.Addr, b.Slots = set.Service, set.Backend, 18
+	return b
+}
+
 // TestForeignHeartbeat guards against a heartbeat of another backend server that takes
 // the place of the one on this VM.
 func TestForeignHeartbeat(t *testing.T) {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -100,8 +100,9 @@
 
 	mu              sync.Mutex // guards the fields below
 	instance        instanceTracker
-	pendingAnnounce func() error // announcement to make once there is a configuration, or nil
-	unconfirmed     func() error // announcement of the first heartbeat until a second report, or nil
+	pendingAnnounce func() error               // announcement to make once there is a configuration, or nil
+	unconfirmed     func() error               // announcement of the first heartbeat until a second report, or nil
+	leftDuringCheck map[mesh.Instance]struct{} // instances that left since the health check in flight was sent; nil if there is none
 
 	listeners  map[string]net.Listener
 	packetConn net.PacketConn
