Ignore a late heartbeat of the instance that a health check found replaced

What callers could see: for up to a heartbeat interval the node beside a new backend server sent it requests that were meant for the previous one, which it refused with 421.

Cause: after a health check had found another instance, the start time of the previous one was forgotten, so that a late heartbeat of it counted as a new start.

The tracker now remembers the start that was replaced. A heartbeat of it is not believed and requests a health check, so that an instance that is there again is found. Start times are not compared beyond that, since the clock of the VM may have been set back.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -35,6 +35,9 @@
 	if status == heartbeatStale {
 		n.log.Info("ignored late heartbeat", zap.String("instance", string(b.Instance)),
 			zap.Int64("sequence", b.Sequence), zap.Int64("born", b.Born), zap.Int64("known", previous.sequence))
+		if previous.replaced == (backendStart{b.Instance, b.Born}) {
+			n.requestRecheck() // shows whether the replaced instance is there again
+		}
 		return nil
 	}
 	if status == heartbeatNewStart && previous.id != "" {
@@ -205,10 +208,15 @@
 func (n *Node) translateResponse(r *http.Response) *fault.Error {
 	e := platform.TranslateResponse(r)
 	if r.StatusCode == http.StatusMisdirectedRequest {
-		select {
-		case n.recheck <- struct{}{}:
-		default:
-		}
+		n.requestRecheck()
 	}
 	return e
 }
+
+// requestRecheck requests a health check, unless one is already requested.
+func (n *Node) requestRecheck() {
+	select {
+	case n.recheck <- struct{}{}:
+	default:
+	}
+}
--- a/internal/hosted/announce_test.go
+++ b/internal/hosted/announce_test.go
@@ -57,6 +57,19 @@
 	}, time.Second, time.Millisecond)
 	require.Equal(t, member.Ready, n.gate.Status().State)
 	require.Equal(t, defaultSlots, n.gate.Status().Slots)
+
+	heartbeat("b", 3)
+	time.Sleep(100 * time.Millisecond)
+	require.Equal(t, defaultSlots, n.gate.Status().Slots, "a late heartbeat of the previous instance was believed")
+	id.Store("b")
+	heartbeat("b", 4)
+	require.Eventually(t, func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.instance.id == "b"
+	}, time.Second, time.Millisecond, "the previous instance is there again")
+	heartbeat("b", 5)
+	require.Equal(t, 18, n.gate.Status().Slots)
 	cancel()
 	require.NoError(t, <-ended)
 }
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -14,6 +14,14 @@
 	sequence int64 // of the last heartbeat
 	left     bool  // the instance has reported that it has left
 	draining bool  // the last heartbeat reported that it is going to stop
+
+	replaced backendStart // last start in whose place a health check found another instance
+}
+
+// backendStart identifies one start of a backend server.
+type backendStart struct {
+	id   mesh.Instance
+	born int64
 }
 
 // heartbeatStatus tells how a heartbeat relates to the known start of the backend
@@ -30,13 +38,14 @@
 func (s *instanceTracker) recordHeartbeat(b platform.Heartbeat) heartbeatStatus {
 	sameStart := b.Instance == s.id && (b.Born == s.born || s.born == 0)
 	switch {
-	case sameStart && s.left, sameStart && b.Sequence <= s.sequence, !sameStart && b.Born < s.born:
+	case sameStart && s.left, sameStart && b.Sequence <= s.sequence, !sameStart && b.Born < s.born,
+		!sameStart && s.replaced == backendStart{b.Instance, b.Born}:
 		return heartbeatStale
 	case sameStart:
 		s.born, s.sequence, s.draining = b.Born, b.Sequence, b.Draining
 		return heartbeatRenewal
 	}
-	*s = instanceTracker{id: b.Instance, born: b.Born, sequence: b.Sequence, draining: b.Draining}
+	*s = instanceTracker{id: b.Instance, born: b.Born, sequence: b.Sequence, draining: b.Draining, replaced: s.replaced}
 	return heartbeatNewStart
 }
 
@@ -59,8 +68,12 @@
 	if id == s.id {
 		return false
 	}
-	*s = instanceTracker{id: id, born: s.born}
-	// The first heartbeat of this start reports its start time.
-	s.born = 0
+	replaced := s.replaced
+	if s.born != 0 {
+		replaced = backendStart{s.id, s.born}
+	}
+	// The first heartbeat of this start reports its start time, which may be before that of
+	// the replaced one if the clock was set back.
+	*s = instanceTracker{id: id, replaced: replaced}
 	return true
 }
--- a/internal/hosted/instance_test.go
+++ b/internal/hosted/instance_test.go
@@ -39,3 +39,23 @@
 	require.Equal(t, heartbeatRenewal, s.recordHeartbeat(platform.Heartbeat{Instance: "a", Born: 100, Sequence: 40}))
 	require.Equal(t, heartbeatStale, s.recordHeartbeat(platform.Heartbeat{Instance: "a", Born: 100, Sequence: 40}))
 }
+
+// TestLateAfterHealthCheck guards against a late heartbeat of an earlier instance that
+// replaces the one that a health check has found.
+func TestLateAfterHealthCheck(t *testing.T) {
+	beat := func(id mesh.Instance, born, sequence int64) platform.Heartbeat {
+		return platform.Heartbeat{Instance: id, Born: born, Sequence: sequence}
+	}
+	var s instanceTracker
+	require.Equal(t, heartbeatNewStart, s.recordHeartbeat(beat("a", 100, 5)))
+	require.True(t, s.recordHealthCheck("b"))
+	require.Equal(t, heartbeatStale, s.recordHeartbeat(beat("a", 100, 6)), "replaced")
+	require.EqualValues(t, "b", s.id)
+	require.Equal(t, heartbeatRenewal, s.recordHeartbeat(beat("b", 90, 1)), "the clock was set back")
+	require.Equal(t, heartbeatStale, s.recordHeartbeat(beat("a", 100, 7)))
+
+	require.True(t, s.recordHealthCheck("c"))
+	require.True(t, s.recordHealthCheck("d"), "replaced before its first heartbeat")
+	require.Equal(t, heartbeatStale, s.recordHeartbeat(beat("b", 90, 2)))
+	require.Equal(t, heartbeatNewStart, s.recordHeartbeat(beat("b", 300, 1)), "started again under its id")
+}
