--- a/internal/trial/soak_test.go
+++ b/internal/trial/soak_test.go
@@ -84,9 +84,9 @@
 
 // oddRows are rows of another writer that must not hide the rows beside them.
 var oddRows = []string{
-	`{"table":"t","part":"","key":"10.1.0.8:99999","value":"","ver":1}`,
-	`{"table":"t","part":"","key":"k","value":7,"ver":1e40}`,
-	`{"table":"t","part":"","key":"k","ver":1,"value":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+	`{"part":"","key":"10.1.0.8:99999","value":"","ver":1}`,
+	`{"part":"","key":"k","value":7,"ver":1e40}`,
+	`{"part":"","key":"k","ver":1,"value":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
 }
 
 // TestHostedSoak guards against violated guarantees to callers, backend servers and
