Number probes from the start time of the process

What operators could see: a member that fails is noticed a probe period later, for each late acknowledgement, after the node that probes it has started again.

Cause: every process numbered its probes from 1, so an acknowledgement of a probe by the process before, which may be late or repeated on its way, could bear the number of a probe of this process to the same member, and counted as the answer to it.

Numbers now start at the first incarnation, which is the start time in milliseconds. TestAckOfEarlierProcess failed before: the member stayed alive for 20 s. It passes 4 of 4 times; TestLateAck, which repeats acknowledgements within one process, passed before as well. ./internal/core/member and ./internal/peer passed once.

--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -74,6 +74,10 @@
 		nextProbe:     now.Add(time.Duration(c.Rand.Int64N(int64(probePeriod)))),
 		nextDeadProbe: now.Add(c.DeadProbeInterval),
 
+		// The first incarnation is the start time in milliseconds, and a process sends fewer
+		// probes than one a millisecond, so an acknowledgement of an earlier process is
+		// never taken for one of this process.
+		sequence:         c.Self.Incarnation,
 		firstIncarnation: c.Self.Incarnation,
 	}
 	l.announce(now)
