Measure the latency of a backend server by its own answers only

What operators could see: with an adaptive limit, the limit of a gate drops after stray answers or rejections, since their short latency sets a baseline that completed work then exceeds.

Cause: the latency was recorded before it was known whether the answer belongs to the request. It is now recorded after the check. A deployment with a fixed limit, as hosted nodes have, is not affected.

--- a/internal/backend/early_test.go
+++ b/internal/backend/early_test.go
@@ -171,3 +171,33 @@
 	defer mu.Unlock()
 	return r.request(t, http.MethodPost, "", 2*time.Second)
 }
+
+// TestLatencyOfOtherAnswers guards against the limit of a gate that follows the latency of
+// answers to other requests.
+func TestLatencyOfOtherAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		valid    bool
+		measured bool
+	}{
+		"own":               {answer("r", ""), true, true},
+		"own error":         {strings.Replace(answer("r", ""), "200 OK", "500 Internal Server Error", 1), true, false},
+		"another request's": {answer("other", ""), false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGate(t, newRawServer(t, c.response), nil)
+			req := g.request(t, http.MethodPost, "seat", time.Second)
+			req.Header.Set(mesh.RequestHeader, "r")
+			call, e := g.newCall(req)
+			require.Nil(t, e)
+			require.Nil(t, g.acquireSlot(t.Context(), call))
+			resp, _ := g.forward(t.Context(), call, req)
+			g.releaseSlot(call)
+			require.Equal(t, c.valid, resp != nil)
+			require.Equal(t, c.measured, call.latency > 0)
+			if resp != nil {
+				resp.Body.Close()
+			}
+		})
+	}
+}
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -435,13 +435,15 @@
 	if err != nil {
 		return nil, g.roundTripRefusal(ctx, c, x.Sent, err)
 	}
-	if resp.StatusCode < http.StatusInternalServerError {
-		// Errors return faster than completed work and would set a baseline
-		// that is too low.
-		c.latency = time.Since(start)
-	}
+	latency := time.Since(start)
 	g.recordResponse(c.endpoint)
-	return g.checkResponse(c, resp)
+	resp, e := g.checkResponse(c, resp)
+	if e == nil && resp.StatusCode < http.StatusInternalServerError {
+		// Errors, and answers to other requests, arrive sooner than those to completed
+		// work and would set a baseline that is too low.
+		c.latency = latency
+	}
+	return resp, e
 }
 
 // roundTripRefusal returns the refusal of a request that failed before its
