Check that a watcher's answer fits the request for the next version

What operators could see: a node that asks a watcher again and again without a pause.

Cause: a node asks its watcher for a version above the one it holds, and asks again right after the answer. An answer with the version it holds or an older one, or one without a version before the requested wait was over, was accepted. The nodes do not answer so; an answer to an earlier request would, and so would another server that has taken the address of a node.

Such an answer is now an error, after which the node reads the store and follows another watcher. TestStrayWatcherAnswer failed before in three of its eight cases; ./internal/hosted passed 3 of 3 times with the race detector.

--- a/internal/hosted/watcher.go
+++ b/internal/hosted/watcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/url"
 	"strconv"
 	"sync"
@@ -73,11 +75,7 @@
 	if !ok {
 		return nil, errNoWatcher
 	}
-	q := url.Values{
-		"after": {strconv.FormatUint(uint64(held), 10)},
-		"wait":  {strconv.FormatInt(d.Milliseconds(), 10)},
-	}
-	c, err := n.requestConfig(ctx, m.Addr, wantNext, q, d+upstreamGrace)
+	c, err := n.askWatcher(ctx, m.Addr, held, d)
 	// A node without a configuration may ask a watcher that has started with it and does
 	// not follow the store yet.
 	if err != nil && ctx.Err() == nil && held > 0 {
@@ -85,3 +83,23 @@
 	}
 	return c, err
 }
+
+// askWatcher is fetchFromWatcher for the watcher at addr. The node asks again right after
+// a response, so one that cannot be the answer to this request is an error.
+func (n *Node) askWatcher(ctx context.Context, addr mesh.Addr, held mesh.Version, d time.Duration) (*platform.Config, error) {
+	q := url.Values{
+		"after": {strconv.FormatUint(uint64(held), 10)},
+		"wait":  {strconv.FormatInt(d.Milliseconds(), 10)},
+	}
+	start := time.Now()
+	c, err := n.requestConfig(ctx, addr, wantNext, q, d+upstreamGrace)
+	switch {
+	case err != nil:
+		return nil, err
+	case c == nil && time.Since(start) < d/2:
+		return nil, errors.New("the watcher did not wait for a version")
+	case c != nil && c.Snapshot.Version <= held:
+		return nil, fmt.Errorf("the watcher sent version %d, want one above %d", c.Snapshot.Version, held)
+	}
+	return c, nil
+}
--- a/internal/hosted/watcher_test.go
+++ b/internal/hosted/watcher_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"compress/gzip"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/hop"
+	"lavenderrill.dev/lavenderrill/internal/settings"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 	"lavenderrill.dev/lavenderrill/platform"
@@ -49,3 +53,52 @@
 	now = now.Add(watcherCooldown)
 	expectChoice("a")
 }
+
+// TestStrayWatcherAnswer guards against a node that asks a watcher again and again without
+// a pause, since it takes an answer to an earlier request, or one of another server at the
+// address, for the answer to its request.
+func TestStrayWatcherAnswer(t *testing.T) {
+	const held, wait = 7, 100 * time.Millisecond
+	encoded := func(version string) string {
+		b, err := newEncodedConfig(&platform.Config{
+			Snapshot: &config.Snapshot{}, Raw: []byte(`{"version":"` + version + `","listeners":[],"clusters":[]}`),
+		}).compressed()
+		require.NoError(t, err)
+		return string(b)
+	}
+	for name, c := range map[string]struct {
+		status  int
+		body    string
+		after   time.Duration // until the answer
+		version mesh.Version  // that is received
+		invalid bool
+	}{
+		"newer":            {status: http.StatusOK, body: encoded("00000008"), version: 8},
+		"held":             {status: http.StatusOK, body: encoded("00000007"), invalid: true},
+		"older":            {status: http.StatusOK, body: encoded("00000006"), invalid: true},
+		"cut":              {status: http.StatusOK, body: encoded("00000008")[:30], invalid: true},
+		"more bytes":       {status: http.StatusOK, body: encoded("00000008") + "HTTP/1.1", invalid: true},
+		"none":             {status: http.StatusNoContent, after: wait},
+		"none, at once":    {status: http.StatusNoContent, invalid: true},
+		"of other content": {status: http.StatusOK, body: "{}", invalid: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(c.after)
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}))
+			defer s.Close()
+			n := &Node{configTransport: hop.New(hop.Config{})}
+			defer n.configTransport.CloseIdle()
+			n.nodeSettings.Store(&settings.Hosted{})
+			got, err := n.askWatcher(t.Context(), mesh.Addr(s.Listener.Addr().String()), held, wait)
+			require.Equal(t, c.invalid, err != nil, "%v", err)
+			if c.version == 0 {
+				require.Nil(t, got)
+			} else {
+				require.Equal(t, c.version, got.Snapshot.Version)
+			}
+		})
+	}
+}
