Check that answers of other nodes name their sender and count all members

What operators could see: a node that counts as joined without a view of the mesh, and so believes the first report of a backend server that has left; and a survey that shows a version as held everywhere although members are missing.

Cause: protocol buffers have no message type on the wire, so the response to another kind of request decodes without an error, as an empty one. Nodes do not send such responses; another server at the address of a node may.

A view without a sender, and survey counts that do not cover each member that was asked for, are now errors. Quota and fetch responses already bear as many entries as asked for, or digests.

--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -240,6 +241,9 @@
 	if err != nil {
 		return err
 	}
+	if r.GetFrom() == "" {
+		return fmt.Errorf("%w: the response names no sender", errMalformed)
+	}
 	us, err := fromMembers(r.GetMembers())
 	if err != nil {
 		return err
--- a/internal/peer/survey.go
+++ b/internal/peer/survey.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// members returns the number of members counted.
+func (c zoneCounts) members() int {
+	n := 0
+	for _, s := range c {
+		n += s.Members
+	}
+	return n
+}
+
 func (c zoneCounts) merge(o zoneCounts) {
 	for z, s := range o {
 		t := c.zone(z)
@@ -153,7 +162,8 @@
 }
 
 // surveyGroup asks the first member of ms to survey all of ms. If a member does
-// not answer, it counts as lagging and the next one is asked instead.
+// not answer, or its answer does not count each member, it counts as lagging and the
+// next one is asked instead.
 func (p *Peer) surveyGroup(ctx context.Context, v mesh.Version, ms []*peerpb.SurveyMember) zoneCounts {
 	total := make(zoneCounts)
 	for len(ms) > 0 {
@@ -162,8 +172,10 @@
 		q := &peerpb.SurveyRequest{Version: uint64(v), Members: ms}
 		a, err := call(ctx, p, "survey", surveyRequestTimeout(ctx, len(ms)), p.clientFor(mesh.Addr(first.GetAddr())).Survey, q)
 		if err == nil {
-			total.merge(decodeCounts(a.GetZones()))
-			return total
+			if counts := decodeCounts(a.GetZones()); counts.members() == 1+len(ms) {
+				total.merge(counts)
+				return total
+			}
 		}
 		total.addMember(mesh.AvailabilityZone(first.GetZone()), mesh.NodeID(first.GetId()), false)
 	}
