--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -35,6 +35,9 @@
 	if status == heartbeatStale {
 		n.log.Info("ignored late heartbeat", zap.String("instance", string(b.Instance)),
 			zap.Int64("sequence", b.Sequence), zap.Int64("born", b.Born), zap.Int64("known", previous.sequence))
+		if previous.replaced == (backendStart{b.Instance, b.Born}) {
+			n.requestRecheck() // shows whether the replaced instance is there again
+		}
 		return nil
 	}
 	if status == heartbeatNewStart && previous.id != "" {
@@ -79,6 +82,9 @@
 func (n *Node) handleLeave(id mesh.Instance, born int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.leftDuringCheck != nil {
+		n.leftDuringCheck[id] = struct{}{}
+	}
 	if n.instance.recordLeave(id, born) {
 		n.pendingAnnounce = nil
 		n.gate.Withdraw()
@@ -158,14 +164,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
+	n.mu.Lock()
+	asked := n.instance.id
+	n.leftDuringCheck = make(map[mesh.Instance]struct{})
+	n.mu.Unlock()
 	id, err := platform.CheckHealth(ctx, set.Backend, path)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, left := n.leftDuringCheck[id]
+	n.leftDuringCheck = nil
 	if err != nil {
 		n.log.Info("health check of the backend server failed; waiting for its heartbeat", zap.Error(err))
 		return
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	before := n.instance.id
+	if left || before != asked && before != id {
+		// The instance may have answered before it left or was replaced.
+		n.log.Info("ignored the answer to a health check that a later report overtook",
+			zap.String("instance", string(id)), zap.String("known", string(before)), zap.Bool("left", left))
+		return
+	}
 	if f := n.unconfirmed; f != nil && id == before {
 		n.unconfirmed = nil
 		if err := f(); err != nil {
@@ -189,10 +207,15 @@
 // response that shows another instance at the address triggers a health check.
 func (n *Node) responseRefusal(r *http.Response) *fault.Error {
 	if r.StatusCode == http.StatusMisdirectedRequest {
-		select {
-		case n.recheck <- struct{}{}:
-		default:
-		}
+		n.requestRecheck()
 	}
 	return platform.ResponseRefusal(r)
 }
+
+// requestRecheck requests a health check, unless one is already requested.
+func (n *Node) requestRecheck() {
+	select {
+	case n.recheck <- struct{}{}:
+	default:
+	}
+}
