Do not complete a response whose connection was reset during a write

Callers could get a success with a short body that looked complete: a response without a length ends with its connection, and one that was reset ended like one that was closed. The kernel reports a reset once. If the write of a request body got the error, the read of the response got io.EOF, and net/http closes the connection only after that.

On io.EOF a hop connection now ends a write in progress and checks whether a write got an error other than EPIPE, which the kernel returns if the peer had closed the connection before or a read had the error already.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -4,23 +4,33 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 // errAborted is returned by writes to an aborted connection.
 var errAborted = errors.New("hop: connection was aborted")
 
+// errReset is returned by reads instead of io.EOF if a write got the error of the
+// connection.
+var errReset = errors.New("hop: connection broke while the request was sent")
+
 // conn counts the bytes of a connection and can be aborted.
 //
 // A write counts its bytes before it checks the aborted flag, and abort sets the
 // flag before it reads the count. So a write that abort did not count sees the
-// flag and fails, without a lock on the write path.
+// flag and fails, although abort does not wait for it.
 type conn struct {
 	net.Conn
 	id      ConnID
 	written atomic.Int64
 	aborted atomic.Bool
 
+	writeMu sync.Mutex // held during a write
+	broken  bool       // a write got the error of the connection; guarded by writeMu
+
 	requests atomic.Int64 // requests that were assigned to the connection
 	waiting  atomic.Bool  // a request is assigned, and none of its bytes is written
 	early    atomic.Int64 // bytes received while waiting, for the current request
@@ -39,11 +49,27 @@
 	if n > 0 && c.waiting.Load() {
 		c.early.Add(int64(n))
 	}
+	if errors.Is(err, io.EOF) && c.isBroken() {
+		err = errReset
+	}
 	return n, err
 }
 
+// isBroken reports whether a write got the error of the connection. The kernel
+// reports a reset once: after a write got it, reads return io.EOF, which would
+// complete a response without a length. It ends a write in progress, since that
+// write may be the one that got the error.
+func (c *conn) isBroken() bool {
+	_ = c.SetWriteDeadline(time.Now()) // fails if c is closed, which ends writes, too
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return c.broken
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	c.waiting.Store(false)
 	c.written.Add(int64(len(p)))
 	if c.aborted.Load() {
@@ -54,6 +80,12 @@
 		// The kernel accepted only n bytes; on a broken connection often none.
 		c.written.Add(int64(n - len(p)))
 	}
+	var errno syscall.Errno
+	if errors.As(err, &errno) && errno != syscall.EPIPE {
+		// EPIPE means that the peer had closed the connection, or that a read got
+		// the error.
+		c.broken = true
+	}
 	return n, err
 }
 
