Reset the connection of an HTTP/1.0 caller whose response is truncated

An HTTP/1.0 caller could get a success with a short body that looked complete: without chunks, a body without a length ends with its connection, and a truncated response closed it like a complete one.

While the node writes such a response, closing the connection resets it, however it is closed: by the abort of the response or with the server.

--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -99,6 +99,12 @@
 	removeReserved(resp.Header, c.cfg.KeepHeaders...)
 	q.setVersionHeader()
 	c.setWriteDeadline(q, resp)
+	// To an HTTP/1.0 caller a body without a length is complete once its connection
+	// is closed.
+	untilClose := resp.ContentLength < 0 && !q.in.ProtoAtLeast(1, 1)
+	if untilClose {
+		setAbortive(q.in, true)
+	}
 	hop.CopyHeader(q.w, resp)
 	a, err := c.copyBody(q, a)
 	a.resp.Body.Close()
@@ -121,6 +127,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	hop.CopyTrailer(q.w, resp)
+	if untilClose {
+		setAbortive(q.in, false)
+	}
 }
 
 const (
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -102,3 +102,12 @@
 	}
 	return c.Conn.SetReadDeadline(t)
 }
+
+// SetLinger is net.TCPConn.SetLinger, if the connection has it.
+func (c *idleTimeoutConn) SetLinger(sec int) error {
+	l, ok := c.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetLinger(sec)
+}
--- a/internal/hosted/listen_test.go
+++ b/internal/hosted/listen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -24,3 +25,22 @@
 	require.NotContains(t, n.listeners, "metrics")
 	require.Len(t, n.listeners, 4)
 }
+
+// TestAbortiveClose guards against a caller's connection that cannot be reset, so that a
+// truncated response to an HTTP/1.0 caller looks complete.
+func TestAbortiveClose(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &idleTimeoutListener{Listener: tcp}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer peer.Close()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	require.Implements(t, (*interface{ SetLinger(sec int) error })(nil), c)
+	require.NoError(t, c.(*idleTimeoutConn).SetLinger(0))
+	require.NoError(t, c.Close())
+	_, err = peer.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
