Give the nodes of each test process their own addresses

Two runs of the hosted tests at the same time took each other's ports: only the first port of a node is known to be free, and the addresses of the nodes were the same in each process.

The middle bytes of the loopback addresses now come from the process id.

--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -80,7 +80,7 @@
 }
 
 func (h *hostedMesh) addNode(i int, service string) *hostedNode {
-	n := &hostedNode{h: h, ip: fmt.Sprintf("127.1.0.%d", i+1), service: service}
+	n := &hostedNode{h: h, ip: nodeIP(i), service: service}
 	n.firstPort = freePorts(h.t, n.ip)
 	n.providerAddr, n.appAddr = h.storeAddr, n.portAddr(5)
 	if h.addRelay != nil {
@@ -108,6 +108,14 @@
 	return n
 }
 
+// nodeIP returns the loopback address of node i. Its middle bytes come from the process id,
+// since only the first port of a node is known to be free: nodes of tests in two processes
+// took each other's ports when they shared their addresses.
+func nodeIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%250, pid%256, i+1)
+}
+
 // freePorts returns a free port of ip below 65000, the first port of a node.
 func freePorts(t *testing.T, ip string) int {
 	for range 50 {
