Add failing tests for requests that outlast a stopping node

A node that got SIGTERM admits requests that it cuts at its end: queued ones are not reconsidered by Gate.Yield, and a request that the node takes from a client must only leave the queue of its gate before the end of the node, not end by then. In a planned stop clients saw 502 or no answer for requests that ran, unsafe ones among them.

The stand-in of the backend server takes the processing time by path.

--- /dev/null
+++ b/internal/caller/outlast_test.go
@@ -0,0 +1,37 @@
+package caller
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/metric"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// TestRequestOutlastsStop guards against a stopping node that passes on a request
+// which cannot end before the node does.
+func TestRequestOutlastsStop(t *testing.T) {
+	reg := metric.New()
+	var runs atomic.Int64
+	g, _ := newRealGate(t, "e1", reg, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path == "/book" {
+			time.Sleep(2 * time.Second)
+		}
+	})
+	b := newTestCaller(t, g)
+	b.PrepareStop(time.Now().Add(time.Second))
+	a := b.do(http.MethodPost, "/book", "", mesh.DeadlineHeader, "5000")
+	require.NoError(t, a.err)
+	require.Equal(t, fault.Draining, a.kind())
+	require.Equal(t, fault.NotRun, a.run())
+	require.Zero(t, runs.Load())
+	a = b.do(http.MethodGet, "/read", "", mesh.DeadlineHeader, "500")
+	require.Equal(t, http.StatusOK, a.code, "a request that ends in time is still served")
+	require.Equal(t, "{}", reg.CounterGroup("invariant_broken").String())
+}
--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -227,6 +227,10 @@
 			kind = "unsafe"
 		case "guide":
 			kind, timeout = "download", 11_000
+		case "haul":
+			kind, timeout = "unsafe", 9000
+		case "survey":
+			timeout = 9000
 		}
 		rules = append(rules, fmt.Sprintf(`{"name":"r-%[1]s","route-type":%[2]q,"target-latency-ms":500,"priority":0,"match":{"prefix":"/%[1]s/"},"action":{"service":%[1]q,"timeout-ms":%[3]d,"attempts":2}}`, s, kind, timeout))
 		clusters = append(clusters, fmt.Sprintf(`{"name":%q,"health-path":"/healthz","max-connections":50}`, s))
