Keep an endpoint whose stopping gate refused one request as too long

A service whose only endpoint was beside a stopping node got no work for 10 s from each node that had sent it one request with a deadline after the end of the node: the gate refused it as draining, and the caller took that for the state of the endpoint. Clients got 503 for short requests that the gate would have admitted.

A refusal now says if the reason lies in the request alone (fault.Error.ThisOnly, a header between nodes), and the caller goes on to use such an endpoint.

TestRefusalOfOneRequest failed before: the second, short request got 503.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -215,6 +215,9 @@
 func outcomeOf(e *fault.Error) route.Outcome {
 	switch e.Kind {
 	case fault.Draining:
+		if e.ThisOnly {
+			return route.Success
+		}
 		return route.Drained
 	case fault.OutcomeUnknown, fault.Internal, fault.NoEndpoint, fault.NotReady:
 		return route.Failed
--- a/internal/caller/outlast_test.go
+++ b/internal/caller/outlast_test.go
@@ -35,3 +35,18 @@
 	require.Equal(t, http.StatusOK, a.code, "a request that ends in time is still served")
 	require.Equal(t, "{}", reg.CounterGroup("invariant_broken").String())
 }
+
+// TestRefusalOfOneRequest guards against an endpoint that gets no work at all because
+// its gate, whose node stops, refused one request as too long.
+func TestRefusalOfOneRequest(t *testing.T) {
+	g := newGate(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/book" {
+			e := fault.New(fault.Draining, "too long")
+			e.ThisOnly = true
+			fault.Write(w, e, "")
+		}
+	})
+	b := newTestCaller(t, g)
+	require.Equal(t, fault.Draining, b.do(http.MethodPost, "/book", "").kind())
+	require.Equal(t, http.StatusOK, b.do(http.MethodGet, "/read", "").code)
+}
--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -17,6 +17,8 @@
 	RunHeader  = "Lavenderrill-Run"
 	// SentHeader is set if the request was sent to a backend server.
 	SentHeader = "Lavenderrill-Sent"
+	// ThisOnlyHeader is set if the refusal does not concern other requests.
+	ThisOnlyHeader = "Lavenderrill-Single"
 )
 
 // Error is an error with a kind and a run state.
@@ -28,6 +30,9 @@
 	// Sent means that the request was sent to a backend server, whether it ran or
 	// not.
 	Sent bool
+	// ThisOnly means that the reason lies in this request, so that the endpoint may
+	// accept others.
+	ThisOnly bool
 	// RetryAfter is the time after which the caller may retry, 0 if unknown.
 	RetryAfter time.Duration
 }
@@ -104,6 +109,9 @@
 	if e.Sent {
 		h.Set(SentHeader, "1")
 	}
+	if e.ThisOnly {
+		h.Set(ThisOnlyHeader, "1")
+	}
 	h.Set("Content-Type", "application/json")
 	w.WriteHeader(LookupKind(e.Kind).Status)
 	b, err := json.Marshal(Body{Kind: e.Kind, Reason: e.Reason, Run: e.Run, Request: id})
@@ -125,5 +133,6 @@
 		e.Run = RunUnknown
 	}
 	e.Sent = h.Get(SentHeader) != ""
+	e.ThisOnly = h.Get(ThisOnlyHeader) != ""
 	return e
 }
