Refuse requests at a stopping gate that cannot end before its node

A node that got SIGTERM went on to admit requests as usual for 1.2 s, whatever their deadline, and later admitted queued ones that it then cut at its end: the end of the node was compared with the deadline of new requests only, and only once the endpoint was yielding. Clients got 502 for requests that ran.

Admission now knows the end of the node from the SIGTERM on (admit.Machine.StopAt). A request fits if its deadline lies before the end, or if the longest of the recent service times of its rank, the mean with twice the deviation, and twice the mean age of those in flight all do. Unknown work does not fit. What does not fit is refused as not run at once: on arrival, when the expected wait is too long, and, if queued, at the SIGTERM or as soon as it cannot start in time.

A yielding gate now also serves requests whose deadline lies after the end if their work fits, so that a service whose only endpoint is beside it keeps being served.

TestQueuedAtStop failed before: the request stayed queued.

--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -63,7 +63,7 @@
 		return member.Draining
 	case e.leaseExpired, e.failed:
 		return member.Unhealthy
-	case !g.stopTime.IsZero() && e.announcedState == member.Ready:
+	case g.yielding && e.announcedState == member.Ready:
 		return member.Yielding
 	case e.announcedState == member.Ready && time.Now().Before(e.warmUntil):
 		return member.Warming
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -115,7 +115,7 @@
 	snapshot *config.Snapshot // configuration whose rank policies were last applied to machine
 	endpoint backendServer
 	stopping bool          // Drain was called
-	stopTime time.Time     // set by Yield: requests must end by then
+	yielding bool          // Yield was called
 	idle     chan struct{} // closed when stopping and nothing is in flight
 
 	bufferedResponses int // buffered responses that are being sent after their slot was released
@@ -154,13 +154,26 @@
 	}
 }
 
-// Yield sets the endpoint state to yielding, so that other nodes prefer other
-// endpoints, and refuses requests whose deadline is after stopTime. A node that
-// stops while its backend server keeps running calls it before Drain.
-func (g *Gate) Yield(stopTime time.Time) {
+// endMargin is the time between the end of a request and that of a node on its path
+// that the response needs.
+const endMargin = bodyGrace
+
+// StopAt announces that the node ends at end. Requests that cannot end before it, or
+// are not expected to, are refused from now on, queued ones included.
+func (g *Gate) StopAt(end time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wakeDecided(g.machine.StopAt(time.Now(), end.Add(-endMargin)))
+}
+
+// Yield is StopAt that also sets the endpoint state to yielding, so that other nodes
+// prefer other endpoints. A node that stops while its backend server keeps running
+// calls it before Drain.
+func (g *Gate) Yield(end time.Time) {
 	g.mu.Lock()
-	g.stopTime = stopTime
+	g.yielding = true
 	g.mu.Unlock()
+	g.StopAt(end)
 	g.notifyEndpoint()
 }
 
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -323,10 +323,6 @@
 		return fault.Newf(fault.NoEndpoint, "the backend server is of service %q, not %q", g.endpoint.service, c.service)
 	case state == member.Starting:
 		return fault.New(fault.NotReady, "the backend server is starting")
-	case state == member.Yielding && c.Deadline.After(g.stopTime):
-		e := fault.New(fault.Draining, "the node beside the backend server stops before the deadline")
-		e.ThisOnly = true
-		return e
 	case state == member.Unhealthy:
 		return fault.New(fault.NoEndpoint, "the backend server is unhealthy")
 	}
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -77,6 +77,7 @@
 	inFlight            int
 	queued              int
 	draining            bool
+	endBy               time.Duration // end of the node, or noDeadline; see StopAt
 	lastNonBulk         time.Duration // last time a non-bulk rank had work
 	decided             []*Ticket     // tickets decided by the current call
 }
@@ -89,7 +90,7 @@
 	if c.Ramp == 0 {
 		c.Ramp = defaultRamp
 	}
-	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, initialServiceShare: c.InitialServiceShare, targetAware: c.TargetAware, maxWait: c.MaxWait, maxQueue: c.MaxQueue, lastNonBulk: -bulkHoldoff}
+	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, initialServiceShare: c.InitialServiceShare, targetAware: c.TargetAware, maxWait: c.MaxWait, maxQueue: c.MaxQueue, endBy: noDeadline, lastNonBulk: -bulkHoldoff}
 	m.limiter = limiter{fixed: c.FixedLimit, rampDuration: c.Ramp}
 	m.limiter.setSlots(c.Slots)
 	m.SetRanks(now, c.Ranks)
@@ -126,6 +127,7 @@
 	if !t.Deadline.IsZero() {
 		t.deadline = m.at(t.Deadline)
 	}
+	t.endBy = m.endBy
 	if m.draining {
 		t.refuse(errDraining)
 		return m.decided
@@ -148,6 +150,8 @@
 	switch {
 	case t.deadline <= at:
 		t.refuse(errExpired)
+	case !t.endsInTime(at):
+		t.refuse(errOutlastsNode)
 	case r.queue.n == 0 && m.inFlight < m.limiter.limit(at) && m.mayTakeSlot(at, r) && m.maySkipQueue(at, t):
 		m.admit(at, t)
 	default:
@@ -317,6 +321,8 @@
 		switch {
 		case t.deadline <= at:
 			m.refuse(t, errExpired)
+		case t.latestStart(at) <= at:
+			m.refuse(t, errOutlastsNode)
 		case t.late:
 			m.refuse(t, errTargetPassed)
 		default:
@@ -340,6 +346,10 @@
 		}
 		t := r.queue.pop()
 		m.untrack(t)
+		if !t.endsInTime(at) {
+			m.refuse(t, errOutlastsNode)
+			continue
+		}
 		if m.order != Arrival {
 			if e := m.lateRefusal(at, t); e != nil {
 				m.refuse(t, e)
@@ -458,7 +468,11 @@
 // would be too long.
 func (m *Machine) enqueue(at time.Duration, t *Ticket) {
 	r := t.rank
-	t.expiresAt = t.deadline
+	t.expiresAt = min(t.deadline, t.latestStart(at))
+	if t.expiresAt < t.deadline && m.waitOf(at, t) > t.expiresAt-at {
+		t.refuse(errOutlastsNode)
+		return
+	}
 	if m.targetAware {
 		m.enqueueTargetAware(at, t)
 		return
@@ -521,6 +535,14 @@
 	return true
 }
 
+// waitOf returns the expected wait of the new ticket t.
+func (m *Machine) waitOf(at time.Duration, t *Ticket) time.Duration {
+	if m.targetAware {
+		return m.expectedTargetAwareWait(at, t.rank)
+	}
+	return m.expectedWait(at, t.rank, t.rank.queue.accountLen(t.Account))
+}
+
 // expectedWait returns the expected wait of a new ticket of r whose account
 // already has own tickets waiting.
 func (m *Machine) expectedWait(at time.Duration, r *rank, own int) time.Duration {
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -77,6 +77,7 @@
 	lastAdmission     time.Duration // last admission from the queue, or start of the wait
 	mergedInto        *rank         // rank that took over the tickets of a removed one
 	latency           baseline
+	longest           longestService
 }
 
 func newRank(p config.RankPolicy, now time.Duration, initialServiceShare float64) *rank {
@@ -146,6 +147,7 @@
 // recordService records the end of a request of r that held its slot for d.
 func (r *rank) recordService(now time.Duration, charged float64, d time.Duration) {
 	s := d.Seconds()
+	r.longest.record(now, d)
 	r.credit += charged - s
 	w := min(maxServiceWeight, float64(now-r.lastSample)/float64(serviceTimeConstant))
 	if r.serviceSamples < initialSamples {
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -119,6 +119,10 @@
 		}
 		t := r.lateQueue.pop()
 		m.untrack(t)
+		if !t.endsInTime(at) {
+			m.refuse(t, errOutlastsNode)
+			return true
+		}
 		if t.deadline-at < r.meanServiceTime() {
 			m.refuse(t, errLateForDeadline)
 			return true
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -52,6 +52,7 @@
 	offered      time.Duration
 	admitted     time.Duration
 	deadline     time.Duration
+	endBy        time.Duration // time by which the request must end, or noDeadline
 	target       time.Duration
 	late         bool          // waits in the late queue
 	expiresAt    time.Duration // end of the wait in the queue
@@ -80,6 +81,7 @@
 	errTargetPassed     = fault.New(fault.Overloaded, "the target had passed, and work that can be in time took all slots")
 	errExpired          = fault.New(fault.DeadlineExceeded, "deadline passed in the queue")
 	errDraining         = fault.New(fault.Draining, "the backend server takes no new work")
+	errOutlastsNode     = outlastsNode()
 	errNoRanks          = fault.New(fault.NotReady, "no configuration is held yet")
 )
 
@@ -94,6 +96,7 @@
 	errTargetPassed:     "late_without_room",
 	errExpired:          "expired_in_queue",
 	errDraining:         "draining",
+	errOutlastsNode:     "outlasts_node",
 	errNoRanks:          "no_ranks",
 }
 
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -16,7 +16,7 @@
 	// callerDrainTime is the time in which callers notice that the node is not ready and
 	// switch to other nodes: two checks, one second apart, and some slack.
 	callerDrainTime = 2500 * time.Millisecond
-	// gateServeTime is the time for which the gate keeps admitting requests as usual.
+	// gateServeTime is the time for which other nodes still choose the gate as usual.
 	gateServeTime = 1200 * time.Millisecond
 	// restartRetryAfter is the time after which a refused caller may find the node again:
 	// the end of requests in flight and a restart of the process.
@@ -29,8 +29,8 @@
 )
 
 // stop ends the node without interrupting a request: callers are still served while
-// they switch to other nodes, the gate admits no new requests, and requests in flight
-// end within the grace time.
+// they switch to other nodes, and requests that would outlast the node are refused from
+// the start, so that those in flight end within the grace time.
 func (n *Node) stop() error {
 	n.stopping.Store(true)
 	n.pacer.RemoveLimit()
@@ -41,11 +41,12 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	n.caller.PrepareStop(deadline)
+	n.gate.StopAt(deadline)
 	drainTime, serveTime := min(callerDrainTime, set.Grace/2), min(gateServeTime, set.Grace/4)
 	errs := []error{wait.For(ctx, serveTime)}
 	// The backend server may keep running. While callers switch to other nodes and
-	// their last requests end, its capacity serves requests that end before the
-	// deadline.
+	// their last requests end, its capacity serves requests for which no other endpoint
+	// is left.
 	n.gate.Yield(deadline)
 	errs = append(errs, wait.For(ctx, drainTime-serveTime), n.caller.StopServing(ctx, restartRetryAfter), n.gate.Drain(ctx))
 	if err := errors.Join(errs...); err != nil {
