Refuse requests that cannot end before the node that takes them stops

Requests that a stopping node took late in its grace time were passed on and cut with no answer at its end, unsafe ones among them. The node bounded only the time by which they had to leave the queue of their gate (Lavenderrill-Start), 0.3 s before its end; a request that took longer than that was lost.

The node now also tells each gate the time by which a request must end (Lavenderrill-End). The gate admits it as it does at its own stop: by its deadline, else by the measured work. The first header stays for gates of earlier versions.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -277,6 +277,9 @@
 	if ms, err := strconv.ParseInt(h.Get(mesh.StartHeader), 10, 64); err == nil {
 		c.AdmitBy = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
+	if ms, err := strconv.ParseInt(h.Get(mesh.EndHeader), 10, 64); err == nil {
+		c.EndBy = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
 	return c, nil
 }
 
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -105,8 +105,8 @@
 		h[mesh.TargetHeader] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	}
 	if by := c.stopBy.Load(); by != nil {
-		left := max(by.Add(-startMargin).Sub(a.started), 0)
-		h[mesh.StartHeader] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+		left := []string{strconv.FormatInt(max(by.Add(-stopMargin).Sub(a.started), 0).Milliseconds(), 10)}
+		h[mesh.StartHeader], h[mesh.EndHeader] = left, left // gates of earlier versions know only the first
 	}
 	for i, k := range hopHeaderNames {
 		h[k] = vs[i : i+1 : i+1]
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -23,10 +23,9 @@
 	// StopServing closes the listener, and for connections that never carry
 	// one.
 	closeTimeout = 250 * time.Millisecond
-	// startMargin is the time before the end of the process at which a request
-	// must have left the queue of its gate, so that a refusal still reaches its
-	// caller.
-	startMargin    = 300 * time.Millisecond
+	// stopMargin is the time before the end of the process at which a request
+	// must have ended, so that its response still reaches its caller.
+	stopMargin     = 300 * time.Millisecond
 	drainedMessage = "caller drained"
 )
 
@@ -73,9 +72,8 @@
 }
 
 // PrepareStop makes each response ask the caller to close its connection.
-// Requests are still served, but must leave the queue of their gate startMargin
-// before the given end of the process, so that any request unanswered at that
-// time is running at a backend server.
+// Requests are still served if they end stopMargin before the given end of the
+// process, or are expected to. Their gates refuse the others.
 func (c *Caller) PrepareStop(by time.Time) {
 	c.stopBy.Store(&by)
 	c.draining.Store(true)
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -128,6 +128,9 @@
 		t.deadline = m.at(t.Deadline)
 	}
 	t.endBy = m.endBy
+	if !t.EndBy.IsZero() {
+		t.endBy = min(t.endBy, m.at(t.EndBy))
+	}
 	if m.draining {
 		t.refuse(errDraining)
 		return m.decided
--- a/internal/core/admit/stop_test.go
+++ b/internal/core/admit/stop_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// TestEndBy guards against a request that is admitted although it outlasts the node
+// that sent it, and against the refusal of others for that.
+func TestEndBy(t *testing.T) {
+	s := newStopTest(2, 2*time.Second)
+	k := &Ticket{Rank: "history", Deadline: s.now.Add(time.Minute), EndBy: s.now.Add(time.Second)}
+	s.m.Offer(s.now, k)
+	require.Same(t, errOutlastsNode, k.Refusal())
+	require.Equal(t, Admitted, s.offer(time.Minute).State())
+}
+
 // TestQueueAtStop guards against queued requests that are admitted too late to end
 // before the node, or refused later than this is known.
 func TestQueueAtStop(t *testing.T) {
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -40,6 +40,7 @@
 	Deadline time.Time // latest useful time of the response; zero means none
 	Target   time.Time // latest time of a response of full worth; zero means the target of the rank, counted from Offer
 	AdmitBy  time.Time // latest time of admission; zero means that only the deadline applies
+	EndBy    time.Time // end of the node that sent the request; zero means that it does not stop
 	Data     any       // for the caller's use
 
 	state        State
--- a/pkg/mesh/header.go
+++ b/pkg/mesh/header.go
@@ -22,6 +22,9 @@
 	// StartHeader carries the time in milliseconds within which a request must be
 	// passed to the backend server. A stopping node sets it.
 	StartHeader = "Lavenderrill-Start"
+	// EndHeader carries the time in milliseconds within which a request must end. A
+	// stopping node sets it.
+	EndHeader = "Lavenderrill-End"
 	// TargetHeader carries the remaining time in milliseconds within which a
 	// response has full worth, 0 if it has passed.
 	TargetHeader = "Lavenderrill-Target"
