Tell callers to come back after the stop that their request would have outlasted

A request that a stopping node refused as too long came back after 200 ms, the delay for a change of membership, to the same node, and used up its retries there. Its Retry-After now reaches the time at which callers use other nodes, and is otherwise a third of the time left less jitter, since a stop lasts for seconds.

TestReturnToStoppingNode failed before with a delay of 200 ms.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -71,6 +71,7 @@
 	WriteTimeout  time.Duration // for responses without their own write deadline
 	Deadline      time.Duration // default for routes without a deadline
 	Linger        time.Duration // how long Drain keeps idle connections open
+	SwitchTime    time.Duration // time after PrepareStop until callers use other nodes
 
 	Pools *hop.Pools // connections to gates
 	Pacer *hop.Pacer // bounds the rate of bulk responses; nil for no bound
@@ -131,6 +132,7 @@
 
 	draining           atomic.Bool
 	stopBy             atomic.Pointer[time.Time] // end of the process; set by PrepareStop
+	switchedAt         atomic.Pointer[time.Time] // when callers use other nodes; set by PrepareStop
 	shutdownRetryAfter atomic.Int64              // time.Duration, 0 until StopServing is called
 	active             atomic.Int64              // requests in flight
 	conns              atomic.Int64              // open connections of callers
--- a/internal/caller/outlast_test.go
+++ b/internal/caller/outlast_test.go
@@ -50,3 +50,21 @@
 	require.Equal(t, fault.Draining, b.do(http.MethodPost, "/book", "").kind())
 	require.Equal(t, http.StatusOK, b.do(http.MethodGet, "/read", "").code)
 }
+
+// TestReturnToStoppingNode guards against a caller that is told to come back while its
+// node, which refused the request as too long, still stops.
+func TestReturnToStoppingNode(t *testing.T) {
+	g, _ := newRealGate(t, "e1", metric.New(), func(http.ResponseWriter, *http.Request) {})
+	b := newTestCaller(t, g)
+	b.cfg.SwitchTime = time.Second
+	delay := make(chan time.Duration, 1)
+	b.cfg.Refuse = func(w http.ResponseWriter, e *fault.Error, id mesh.RequestID) {
+		delay <- e.RetryAfter
+		fault.Write(w, e, id)
+	}
+	b.PrepareStop(time.Now().Add(2 * time.Second))
+	require.Equal(t, fault.Draining, b.do(http.MethodPost, "/book", "", mesh.DeadlineHeader, "5000").kind())
+	d := <-delay
+	require.Greater(t, d, 900*time.Millisecond)
+	require.LessOrEqual(t, d, 5*time.Second/3)
+}
--- a/internal/caller/retrydelay.go
+++ b/internal/caller/retrydelay.go
@@ -50,13 +50,27 @@
 		if slack := r.target - time.Duration(serviceTimeMargin*float64(r.serviceTime)) - r.waited; slack >= minSlack {
 			maxDelay = min(maxDelay, slack)
 		}
-		return time.Duration(float64(maxDelay) * (minJitterFraction + (1-minJitterFraction)*random))
+		return jittered(maxDelay, random)
 	case fault.Draining, fault.NoEndpoint, fault.NotReady:
 		return min(memberChangeDelay, maxDelay)
 	}
 	return 0
 }
 
+// jittered returns a delay between minJitterFraction of longest and longest.
+func jittered(longest time.Duration, random float64) time.Duration {
+	return time.Duration(float64(longest) * (minJitterFraction + (1-minJitterFraction)*random))
+}
+
+// outlastDelay returns the retry delay of a request that would have outlasted a stopping
+// node. A stop takes seconds, so that the delay is as long as the deadline allows, less
+// jitter. If it is the node of the caller that stops, callers use other nodes after
+// switchIn.
+func outlastDelay(remaining, switchIn time.Duration, random float64) time.Duration {
+	maxDelay := time.Duration(maxRetryDelayFraction * float64(remaining))
+	return max(jittered(maxDelay, random), min(switchIn, maxDelay))
+}
+
 // withRetryDelay returns e with the retry delay of q. It copies e, which may be
 // shared, unless there is no delay to set.
 func (c *Caller) withRetryDelay(q *call, e *fault.Error) *fault.Error {
@@ -70,6 +84,13 @@
 		r.waited = c.callerTimeouts.estimate(q.route.Name) - r.remaining
 	}
 	d := retryDelay(r, rand.Float64())
+	if e.ThisOnly {
+		var switchIn time.Duration
+		if at := c.switchedAt.Load(); at != nil {
+			switchIn = time.Until(*at)
+		}
+		d = outlastDelay(r.remaining, switchIn, rand.Float64())
+	}
 	if d <= 0 {
 		return e
 	}
--- a/internal/caller/retrydelay_test.go
+++ b/internal/caller/retrydelay_test.go
@@ -53,3 +53,21 @@
 	p.observe("r", 200*time.Millisecond, now)
 	require.Equal(t, 300*time.Millisecond, p.estimate("r"), "forgotten")
 }
+
+// TestOutlastDelay guards against a caller that comes back while the stop that its
+// request would have outlasted still goes on, although its deadline allows for more.
+func TestOutlastDelay(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		remaining, switchIn time.Duration
+		random              float64
+		want                time.Duration
+	}{
+		{"node of the caller stops", 15 * time.Second, 2500 * time.Millisecond, 0, 2500 * time.Millisecond},
+		{"node of the endpoint stops", 15 * time.Second, 0, 0, 1500 * time.Millisecond},
+		{"callers come back apart", 15 * time.Second, 0, 1, 5 * time.Second},
+		{"little left", 3 * time.Second, 2500 * time.Millisecond, 0, time.Second},
+	} {
+		require.Equal(t, c.want, outlastDelay(c.remaining, c.switchIn, c.random), c.name)
+	}
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -75,6 +75,8 @@
 // Requests are still served if they end stopMargin before the given end of the
 // process, or are expected to. Their gates refuse the others.
 func (c *Caller) PrepareStop(by time.Time) {
+	switched := time.Now().Add(c.cfg.SwitchTime)
+	c.switchedAt.Store(&switched)
 	c.stopBy.Store(&by)
 	c.draining.Store(true)
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -240,6 +240,7 @@
 		Zone:         set.Zone,
 		Service:      set.Service,
 		Ready:        func() bool { return !n.pauses.Recent() },
+		SwitchTime:   callerDrainTime,
 		LatencyAware: true,
 		Snapshot:     n.snapshot,
 		HopToken:     peer.HopToken(meshKey(set)),
