Play rejections, stopped responses and long work during stops in the soak

Its clients also were http.Transport, which sends some requests again by itself, and unplanned faults of any node within 3 s excused each lost request, so that few were checked.

- Backend servers reject, repeat rejections in all forms of the stand-in, limit their slots and stop inside responses, beside the other faults.
- Nodes are stopped in series, in half of the stops with SIGHUP, while configurations change.
Each run begins with planned faults only.
- Clients write to their connections until the node closes them.
Bodies have a length or come in chunks.
Half of the clients send requests of 1 to 5 s of work, unsafe ones among them.
- LOST, REFUSED, TWICE and MIXED are checked against the records of the backend servers.
Only faults of the nodes that took and ran a request excuse its loss, those of the store and of backend servers do not.
- LAVENDERRILL_TRIAL_NODES sets the number of nodes.

--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -41,6 +41,8 @@
 	storeAddr string
 	nodes     []*hostedNode
 
+	slowTarget time.Duration // target latency of slow routes
+
 	addRelay func(*hostedNode) // adds relays to a node before it starts; may be nil
 }
 
@@ -185,6 +187,8 @@
 type response struct {
 	status     int // 0 if the connection closed without a response
 	signed     bool
+	signature  string
+	answered   string     // request that the response names
 	kind       fault.Kind // of a refusal
 	retryAfter string     // Retry-After header
 	body       string
@@ -225,12 +229,17 @@
 	return r
 }
 
-// putConfig writes a configuration with a route to each named service.
+// slowRoute is the prefix of the names of routes that allow requests of several seconds.
+const slowRoute = "slow-"
+
+// putConfig writes a configuration with a route to each named service. If slowRoute
+// precedes the name of a service, its route allows requests of several seconds.
 func (h *hostedMesh) putConfig(version int, services ...string) {
 	var rules, clusters []string
 	for _, s := range services {
 		kind, timeout := "safe", 1500
-		switch s {
+		service, slow := strings.CutPrefix(s, slowRoute)
+		switch service {
 		case "book":
 			kind = "unsafe"
 		case "guide":
@@ -240,7 +249,14 @@
 		case "survey":
 			timeout = 9000
 		}
-		rules = append(rules, fmt.Sprintf(`{"name":"r-%[1]s","route-type":%[2]q,"target-latency-ms":500,"priority":0,"match":{"prefix":"/%[1]s/"},"action":{"service":%[1]q,"timeout-ms":%[3]d,"attempts":2}}`, s, kind, timeout))
+		target := 500 * time.Millisecond
+		if slow {
+			timeout, target = 9000, h.slowTarget
+		}
+		rules = append(rules, fmt.Sprintf(`{"name":"r-%[1]s","route-type":%[2]q,"target-latency-ms":%[5]d,"priority":0,"match":{"prefix":"/%[1]s/"},"action":{"service":%[4]q,"timeout-ms":%[3]d,"attempts":2}}`, s, kind, timeout, service, target.Milliseconds()))
+		if slow {
+			continue // the route of the service itself adds it
+		}
 		clusters = append(clusters, fmt.Sprintf(`{"name":%q,"health-path":"/healthz","max-connections":50}`, s))
 	}
 	h.store.Put("op", "config", []byte(fmt.Sprintf(
--- a/internal/trial/soak_test.go
+++ b/internal/trial/soak_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +22,7 @@
 	"lavenderrill.dev/lavenderrill/internal/standin/inject"
 	"lavenderrill.dev/lavenderrill/internal/standin/relay"
 	"lavenderrill.dev/lavenderrill/internal/wait"
+	"lavenderrill.dev/lavenderrill/platform/standin"
 )
 
 // soakSeeds are the seeds that CI runs: 1, and each seed that failed, with the cause.
@@ -32,6 +35,7 @@
 		"failed stop for a process that got SIGTERM before it listened"},
 	{108, "first cause of 106"},
 	{223, "the check did not retry a heartbeat to a starting node"},
+	{2, "never failed; a second run of the faults of backend servers and of stops in series"},
 }
 
 const (
@@ -44,14 +48,26 @@
 	drainAckBound = 4 * time.Second
 	// recoveryBound is the maximum time from the last fault until all services work again.
 	recoveryBound = 15 * time.Second
-	soakNodes     = 8
-	soakCallers   = 16
+	// defaultSoakNodes is the number of nodes if LAVENDERRILL_TRIAL_NODES is not set.
+	defaultSoakNodes = 8
+	// shortClients and longClients are the numbers of clients of a node that send short
+	// and long requests.
+	shortClients = 2
+	longClients  = 2
+	// faultLoops and serverFaultLoops are the numbers of faults, beside series of stops,
+	// that may overlap.
+	faultLoops       = 3
+	serverFaultLoops = 2
+	// plannedShare is the share of the time in which unplanned faults do not yet occur,
+	// since they excuse lost requests.
+	plannedShare = 0.3
 )
 
 // faultSpan is the period of one fault.
 type faultSpan struct {
 	fault      string
 	node       *hostedNode // nil for the store
+	endpoint   bool        // of the backend server of node
 	planned    bool
 	begin, end time.Time // end is zero during the fault
 }
@@ -67,19 +83,20 @@
 
 	mu         sync.Mutex
 	rnd        *rand.Rand
-	busy       map[*hostedNode]bool // nil key: the store
+	busy       map[faultTarget]bool
 	spans      []*faultSpan
 	violations []string // violated guarantees
 	responses  []soakResponse
 	acceptedAt []time.Time // element i is of version i+2, which adds route /v<i+2>/
+	plannedEnd time.Time   // end of the time without unplanned faults
+
+	serverFaults int // faults of backend servers so far
 }
 
-// soakResponse is a response with the node and the times of its request.
-type soakResponse struct {
-	response
-	node       *hostedNode
-	sent, done time.Time
-	unsafe     bool
+// faultTarget is what has one fault at a time.
+type faultTarget struct {
+	node     *hostedNode // nil for the store
+	endpoint bool        // the backend server of node
 }
 
 // oddRows are rows of another writer that must not hide the rows beside them.
@@ -91,7 +108,9 @@
 
 // TestHostedSoak guards against violated guarantees to callers, backend servers and
 // operators under repeated, overlapping random faults of processes, connections and the
-// store. LAVENDERRILL_TRIAL_SEED and LAVENDERRILL_TRIAL_TIME set another seed and duration.
+// store, of backend servers that repeat rejections and stop inside a response, and of
+// planned stops in series. LAVENDERRILL_TRIAL_SEED, LAVENDERRILL_TRIAL_TIME and
+// LAVENDERRILL_TRIAL_NODES set another seed, duration and number of nodes.
 func TestHostedSoak(t *testing.T) {
 	chosen := seed(t)
 	for _, s := range soakSeeds {
@@ -99,15 +118,36 @@
 			continue // one run of the chosen seed
 		}
 		run := max(s.seed, chosen)
-		t.Run(fmt.Sprint(run), func(t *testing.T) { runSoak(t, run, trialDuration(t, 12*time.Second)) })
+		t.Run(fmt.Sprint(run), func(t *testing.T) { runSoak(t, run, longTarget) })
+	}
+}
+
+// TestHostedSoakSharedRank is TestHostedSoak with long requests in the rank of the short
+// ones, so that the service times of the rank do not show them. It guards against stopping
+// nodes that admit a long request because they have run short ones only.
+func TestHostedSoakSharedRank(t *testing.T) {
+	chosen := seed(t)
+	if chosen == 1 {
+		chosen = 223 // failed
 	}
+	runSoak(t, chosen, shortTarget)
 }
 
-func runSoak(t *testing.T, seed uint64, d time.Duration) {
+// shortTarget and longTarget are target latencies of routes. Routes with the same target
+// share a rank.
+const (
+	shortTarget = 500 * time.Millisecond
+	longTarget  = 5 * time.Second
+)
+
+// runSoak runs one soak. Routes that allow long requests have the given target.
+func runSoak(t *testing.T, seed uint64, target time.Duration) {
+	d := trialDuration(t, 14*time.Second)
 	s := &soak{
 		hostedMesh: newHostedMesh(t), backendRelays: make(map[*hostedNode]*relay.Relay),
-		rnd: rand.New(rand.NewPCG(seed, seed)), busy: make(map[*hostedNode]bool),
+		rnd: rand.New(rand.NewPCG(seed, seed)), busy: make(map[faultTarget]bool),
 	}
+	s.slowTarget = target
 	s.store.SetOddRows(oddRows...)
 	s.storeRelay = s.startRelay(s.storeAddr, seed)
 	s.storeAddr = s.storeRelay.Addr()
@@ -115,24 +155,28 @@
 		s.backendRelays[n] = s.startRelay(n.appAddr, seed)
 		n.appAddr = s.backendRelays[n].Addr()
 	}
-	for i := range soakNodes {
-		s.addNode(i, []string{"look", "book"}[i%2])
+	for i := range soakNodes(t) {
+		s.addNode(i, []string{"look", "book"}[i%2]).server.ServiceTimeOf = workOf
 	}
-	s.configure("look", "book")
+	s.configure(soakRoutes...)
+	s.plannedEnd = time.Now().Add(time.Duration(plannedShare * float64(d)))
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
 	callCtx, stopCalls := context.WithCancel(t.Context())
 	var callers, faults sync.WaitGroup
-	for i := range soakCallers {
-		callers.Go(func() { s.sendRequests(callCtx, s.nodes[i%len(s.nodes)], i) })
-	}
-	for _, n := range s.nodes {
+	for i, n := range s.nodes {
+		for k := range shortClients + longClients {
+			rnd := rand.New(rand.NewPCG(seed, uint64(i*(shortClients+longClients)+k)))
+			callers.Go(func() { s.sendRequests(callCtx, n, rnd, k >= shortClients) })
+		}
 		callers.Go(func() { s.checkVersions(callCtx, n) })
 	}
-	for range 3 {
+	loops := slices.Repeat([]func(context.Context){s.injectFault}, faultLoops)
+	loops = append(loops, slices.Repeat([]func(context.Context){s.injectServerFault}, serverFaultLoops)...)
+	for _, inject := range append(loops, s.stopInSeries) {
 		faults.Go(func() {
 			for ctx.Err() == nil {
-				s.injectFault(ctx)
+				inject(ctx)
 				_ = wait.For(ctx, s.randomBelow(300*time.Millisecond))
 			}
 		})
@@ -143,12 +187,26 @@
 		}
 	})
 	faults.Wait()
+	last := time.Now()
 	s.checkRecovery()
+	t.Logf("all nodes serve requests %v after the last fault", time.Since(last).Round(time.Millisecond))
 	stopCalls()
 	callers.Wait()
+	time.Sleep(time.Second) // a refused request must not run later either
 	s.audit(t, seed)
 }
 
+// soakNodes returns LAVENDERRILL_TRIAL_NODES, or defaultSoakNodes if it is not set.
+func soakNodes(t *testing.T) int {
+	v := os.Getenv("LAVENDERRILL_TRIAL_NODES")
+	if v == "" {
+		return defaultSoakNodes
+	}
+	n, err := strconv.Atoi(v)
+	require.NoError(t, err)
+	return n
+}
+
 // connectionGroups is the number of groups into which a relay divides connections by
 // client port. All nodes use one store address, so a fault of one group affects some
 // connections of any node.
@@ -168,9 +226,12 @@
 	return r
 }
 
+// soakRoutes are the routes of all versions.
+var soakRoutes = []string{"look", "book", slowRoute + "look", slowRoute + "book"}
+
 // acceptVersion writes a configuration with a route for each version so far.
 func (s *soak) acceptVersion(version int) {
-	routes := []string{"look", "book"}
+	routes := slices.Clone(soakRoutes)
 	for v := 2; v <= version; v++ {
 		routes = append(routes, fmt.Sprint("v", v))
 	}
@@ -197,36 +258,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.spans {
-		if (p.node == n || p.node == nil) && (p.end.IsZero() || p.end.After(since)) {
+		// A fault of a backend server delays no configuration.
+		if !p.endpoint && (p.node == n || p.node == nil) && (p.end.IsZero() || p.end.After(since)) {
 			return false
 		}
 	}
 	return true
 }
 
-// sendRequests sends requests to n over persistent connections until ctx ends.
-func (s *soak) sendRequests(ctx context.Context, n *hostedNode, i int) {
-	client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
-	defer client.CloseIdleConnections()
-	for k := 0; ctx.Err() == nil; k++ {
-		r := soakResponse{node: n, sent: time.Now(), unsafe: (i+k)%2 == 0}
-		method, path := http.MethodGet, "/look/"
-		if r.unsafe {
-			method, path = http.MethodPost, "/book/"
-		}
-		r.response = n.sendWith(client, method, path)
-		r.done = time.Now()
-		s.mu.Lock()
-		s.responses = append(s.responses, r)
-		s.mu.Unlock()
-		pause := 5 * time.Millisecond
-		if r.status != http.StatusOK {
-			pause = 50 * time.Millisecond
-		}
-		_ = wait.For(ctx, pause)
-	}
-}
-
 // checkVersions requests the newest route from n and checks that versions become active
 // in time and that n does not go back to an older one.
 func (s *soak) checkVersions(ctx context.Context, n *hostedNode) {
@@ -279,11 +318,16 @@
 		n.start()
 		return err
 	}},
-	{"stop", true, func(s *soak, ctx context.Context, n *hostedNode) error {
+	{stopFault, true, func(s *soak, ctx context.Context, n *hostedNode) error {
 		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), hostedGrace)
 		defer cancel()
 		began := n.isListening()
+		var hangups sync.WaitGroup
+		if began && s.randomBelow(2) == 0 {
+			hangups.Go(func() { s.hangUpWhileStopping(n.process) })
+		}
 		err := n.process.Stop(end)
+		hangups.Wait()
 		n.start()
 		if err != nil && !began && strings.Contains(err.Error(), "signal: terminated") {
 			return nil // SIGTERM arrived before the process listened
@@ -317,6 +361,20 @@
 	{"replace", true, (*soak).replaceServer},
 }
 
+// stopFault is the name of planned stops.
+const stopFault = "stop"
+
+// hangUpWhileStopping sends SIGHUP to p at random times until p has ended.
+func (s *soak) hangUpWhileStopping(p *Process) {
+	for !p.Ended() {
+		_ = p.Signal(syscall.SIGHUP) // an error says that the process has ended
+		select {
+		case <-p.Done():
+		case <-time.After(s.randomBelow(time.Second)):
+		}
+	}
+}
+
 // injectRelayFault applies a random fault to the first groups of r for up to 4 s.
 func (s *soak) injectRelayFault(ctx context.Context, r *relay.Relay, groups int) error {
 	ms := relay.Duration(time.Millisecond)
@@ -360,42 +418,114 @@
 	}
 	ackedAt := time.Now()
 	_ = wait.For(ctx, drainBound+s.randomBelow(time.Second))
-	if last := n.server.LastRunTime(); last.After(ackedAt.Add(drainBound)) {
+	if last := n.server.LastArrivalTime(); last.After(ackedAt.Add(drainBound)) {
 		s.recordViolation("%s received a request %v after its drain was acknowledged", n.ip, last.Sub(ackedAt))
 	}
 	n.server.Restart(fmt.Sprintf("i-%d", 1000+soakInstance.Add(1)))
 	return nil
 }
 
-// injectFault injects one fault: in one of six cases in the store, else in a node.
+// injectFault injects one fault: in one of six cases in the store, else in a node. Until
+// plannedEnd, it does nothing if the fault is unplanned.
 func (s *soak) injectFault(ctx context.Context) {
 	f := soakFaults[int(s.randomBelow(time.Duration(len(soakFaults))))]
-	n := s.nodes[int(s.randomBelow(time.Duration(len(s.nodes))))]
-	p := &faultSpan{fault: f.name, node: n, planned: f.planned, begin: time.Now()}
+	n := s.randomNode()
+	p := &faultSpan{fault: f.name, node: n, planned: f.planned}
+	run := func() error { return f.run(s, ctx, n) }
 	if s.randomBelow(6) == 0 {
-		p.fault, p.node, p.planned = "store", nil, false
+		p = &faultSpan{fault: "store"}
+		run = func() error { return s.injectStoreFault(ctx) }
+	}
+	if p.planned || time.Now().After(s.plannedEnd) {
+		s.runFault(p, run)
 	}
+}
+
+// runFault runs a fault and records p, unless the target of p has a fault already.
+func (s *soak) runFault(p *faultSpan, run func() error) {
+	target := faultTarget{p.node, p.endpoint}
 	s.mu.Lock()
-	if s.busy[p.node] {
+	if s.busy[target] {
 		s.mu.Unlock()
 		return
 	}
-	s.busy[p.node] = true
+	s.busy[target] = true
+	p.begin = time.Now()
 	s.spans = append(s.spans, p)
 	s.mu.Unlock()
-	var err error
-	if p.node == nil {
-		err = s.injectStoreFault(ctx)
-	} else {
-		err = f.run(s, ctx, n)
-	}
-	if err != nil {
-		s.recordViolation("%s on %s: %v", p.fault, n.ip, err)
+	if err := run(); err != nil {
+		where := "the store"
+		if p.node != nil {
+			where = p.node.ip
+		}
+		s.recordViolation("%s on %s: %v", p.fault, where, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.end = time.Now()
-	delete(s.busy, p.node)
+	delete(s.busy, target)
+}
+
+func (s *soak) randomNode() *hostedNode {
+	return s.nodes[int(s.randomBelow(time.Duration(len(s.nodes))))]
+}
+
+// stopInSeries stops up to half of the nodes one after another, so that their stops
+// overlap.
+func (s *soak) stopInSeries(ctx context.Context) {
+	var stops sync.WaitGroup
+	for range 2 + int(s.randomBelow(time.Duration(len(s.nodes)/2-1))) {
+		n := s.randomNode()
+		for _, f := range soakFaults {
+			if f.name == stopFault {
+				stops.Go(func() {
+					s.runFault(&faultSpan{fault: f.name, node: n, planned: true}, func() error { return f.run(s, ctx, n) })
+				})
+			}
+		}
+		_ = wait.For(ctx, s.randomBelow(1500*time.Millisecond))
+	}
+	stops.Wait()
+	_ = wait.For(ctx, s.randomBelow(2*time.Second))
+}
+
+// injectServerFault makes a backend server reject requests, repeat rejections and stop
+// inside responses for 1 to 4 s. These are no faults of a node, so they excuse none.
+func (s *soak) injectServerFault(ctx context.Context) {
+	n := s.randomNode()
+	s.runFault(&faultSpan{fault: "backend server", node: n, endpoint: true, planned: true}, func() error {
+		n.server.SetFaults(s.randomServerFaults())
+		_ = wait.For(ctx, time.Second+s.randomBelow(3*time.Second))
+		n.server.SetFaults(standin.Faults{})
+		return nil
+	})
+}
+
+// randomServerFaults returns faults of a backend server. The first ones of a run are the
+// same in each run, since random ones may not be of all kinds.
+func (s *soak) randomServerFaults() standin.Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.serverFaults++; s.serverFaults <= serverFaultLoops {
+		return standin.Faults{Seed: s.rnd.Uint64(), Rejected: 0.5, Repeated: 1, Truncated: 0.1}
+	}
+	statuses := []int{0, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest}
+	f := standin.Faults{
+		Seed: s.rnd.Uint64(), Repeated: 0.5 + 0.5*s.rnd.Float64(), RepeatWithoutID: []float64{0, 0.5, 1}[s.rnd.IntN(3)],
+		RejectionStatus: statuses[s.rnd.IntN(len(statuses))], RepeatStatus: statuses[s.rnd.IntN(len(statuses))],
+		RejectionBody: s.rnd.IntN(2) == 0, RepeatAfterRun: s.rnd.IntN(2) == 0,
+		RejectionTime: []time.Duration{0, 20 * time.Millisecond}[s.rnd.IntN(2)],
+	}
+	if s.rnd.IntN(4) > 0 {
+		f.Rejected = 0.1 + 0.5*s.rnd.Float64()
+	}
+	if s.rnd.IntN(3) == 0 {
+		f.Slots, f.Queue, f.Spread = 2+s.rnd.IntN(6), s.rnd.IntN(4), 0.5
+	}
+	if f.Rejected == 0 || s.rnd.IntN(2) == 0 {
+		f.Truncated = 0.3 * s.rnd.Float64()
+	}
+	return f
 }
 
 // injectStoreFault injects a fault into the store or the connections to it.
@@ -436,76 +566,3 @@
 		}
 	}
 }
-
-// audit compares the responses to callers with the runs on backend servers.
-func (s *soak) audit(t *testing.T, seed uint64) {
-	runs := make(map[string]int)
-	for _, n := range s.nodes {
-		for id, k := range n.server.Runs() {
-			runs[id] += k
-		}
-		s.checkInvariants(n)
-	}
-	counts := make(map[int]int)
-	for _, r := range s.responses {
-		counts[r.status]++
-		k := runs[r.id]
-		switch {
-		case r.unsafe && k > 1:
-			s.recordViolation("%s ran %d times", r.id, k)
-		case r.status == http.StatusOK && (!r.signed || k == 0 || !strings.Contains(r.body, r.id)):
-			s.recordViolation("%s got a response without signature, run or its own id: %q", r.id, r.body)
-		case (r.status == 503 || r.status == 429 || r.status == 408 || r.status == 421) && k > 0:
-			s.recordViolation("%s was refused with %d and ran %d times", r.id, r.status, k)
-		case r.status == 0 && k > 0 && s.noUnplannedFault(r):
-			s.recordViolation("%s ran, but its connection closed without a response, at %s from %s to %s", r.id, r.node.ip, r.sent.Format("05.000"), r.done.Format("05.000"))
-		}
-	}
-	t.Logf("seed %d: %d faults, %d versions, responses by status %v", seed, len(s.spans), len(s.acceptedAt), counts)
-	require.Positive(t, s.versionsSeen.Load(), "no node served a new version, so the version checks had no data")
-	if len(s.violations) == 0 {
-		require.Greater(t, counts[200], len(s.responses)/4)
-		return
-	}
-	for _, p := range s.spans {
-		where := "store"
-		if p.node != nil {
-			where = p.node.ip
-		}
-		t.Logf("%s to %s: %s at %s", p.begin.Format("05.000"), p.end.Format("05.000"), p.fault, where)
-	}
-	for _, n := range s.nodes {
-		t.Logf("log of %s: %s", n.ip, n.process.Log)
-	}
-	require.Empty(t, s.violations, "seed %d", seed)
-}
-
-// noUnplannedFault reports whether there was no unplanned fault during r and in the
-// settlingTime before it.
-func (s *soak) noUnplannedFault(r soakResponse) bool {
-	for _, p := range s.spans {
-		if !p.planned && p.begin.Before(r.done) && p.end.After(r.sent.Add(-settlingTime)) {
-			return false
-		}
-	}
-	return true
-}
-
-// checkInvariants records a violation if n has counted a broken invariant.
-func (s *soak) checkInvariants(n *hostedNode) {
-	resp, err := http.Get("http://" + n.portAddr(metricsPortOffset))
-	if err != nil {
-		s.recordViolation("metrics of %s: %v", n.ip, err)
-		return
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		s.recordViolation("metrics of %s: %v", n.ip, err)
-	}
-	for line := range strings.Lines(string(b)) {
-		if strings.HasPrefix(line, "invariant_broken") {
-			s.recordViolation("%s: %s", n.ip, line)
-		}
-	}
-}
