Test stray answers on connections between nodes

A gate answers through net/http and repeats nothing, but the address of a node may come to another server. The node compares the id of an answer with the request before it reads what the answer states, so that a refusal of another request, one without a request or an interim answer never counts as "not run" for the request that runs. No logic changes.

--- /dev/null
+++ b/internal/caller/stray_test.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
+)
+
+// rawGate is a gate of which the test writes the bytes of each answer.
+type rawGate struct {
+	member.Member
+	mu   sync.Mutex
+	runs map[string]int // by request id
+}
+
+// newRawGate starts a gate that runs each request and writes the answer that f returns for
+// its id and the number of requests before it on the connection.
+func newRawGate(t *testing.T, id string, f func(id string, before int) string) *rawGate {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	g := &rawGate{runs: make(map[string]int), Member: member.Member{
+		ID: mesh.NodeID(id), Zone: "a", Addr: mesh.Addr(l.Addr().String()), Service: "s", Slots: 20, Endpoint: member.Ready, Incarnation: 1,
+	}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for before := 0; ; before++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					id := req.Header.Get(mesh.RequestHeader)
+					g.mu.Lock()
+					g.runs[id]++
+					g.mu.Unlock()
+					if _, err := io.WriteString(c, f(id, before)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return g
+}
+
+func gateAnswer(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", mesh.RequestHeader, id, len(id), id)
+}
+
+// TestStrayGateAnswer guards against a refusal by the gate of another request, or one without
+// a request, that counts as "not run" for the request that runs, and against a connection
+// that stays in use after one.
+func TestStrayGateAnswer(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\n" + fault.KindHeader + ": overloaded\r\n" + fault.RunHeader + ": not-run\r\n"
+	const (
+		empty   = "Content-Length: 0\r\n\r\n"
+		strayAt = 2 // requests on the connection before the stray answer
+	)
+	for name, stray := range map[string]string{
+		"refusal of another request": refusal + mesh.RequestHeader + ": other\r\n" + empty,
+		"refusal without a request":  refusal + empty,
+		"refusal with a body":        refusal + mesh.RequestHeader + ": other\r\nContent-Length: 4\r\n\r\nfull",
+		"no kind":                    "HTTP/1.1 503 -\r\n" + fault.RunHeader + ": not-run\r\n" + mesh.RequestHeader + ": other\r\n" + empty,
+		"success":                    "HTTP/1.1 200 OK\r\n" + mesh.RequestHeader + ": other\r\n" + empty,
+		"not the status of a gate":   "HTTP/1.1 421 Misdirected Request\r\n" + empty,
+		"interim, then refusal":      "HTTP/1.1 103 Early Hints\r\n" + mesh.RequestHeader + ": other\r\n\r\n" + refusal + mesh.RequestHeader + ": other\r\n" + empty,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var reused atomic.Int64
+			f := func(id string, before int) string {
+				switch {
+				case before == strayAt:
+					return stray + gateAnswer(id)
+				case before > strayAt+1: // one request may get the connection before it is closed
+					reused.Add(1)
+				}
+				return gateAnswer(id)
+			}
+			g1, g2 := newRawGate(t, "e1", f), newRawGate(t, "e2", f)
+			b := newTestCaller(t)
+			b.SetMembers([]member.Member{g1.Member, g2.Member})
+			var workers sync.WaitGroup
+			var unknown, served atomic.Int64
+			for n := range 8 {
+				workers.Go(func() {
+					for i := range 40 {
+						id := fmt.Sprintf("r-%d-%03d", n, i)
+						a := b.do("POST", "/book", "x", mesh.RequestHeader, id)
+						g1.mu.Lock()
+						runs := g1.runs[id]
+						g1.mu.Unlock()
+						g2.mu.Lock()
+						runs += g2.runs[id]
+						g2.mu.Unlock()
+						switch {
+						case a.code == http.StatusOK && a.body == id:
+							served.Add(1)
+						case a.kind() == fault.OutcomeUnknown:
+							unknown.Add(1)
+						case a.run() == fault.NotRun && runs == 0: // no endpoint is left
+						default:
+							t.Errorf("%s: ran %d times, answered %d %q", id, runs, a.code, a.body)
+						}
+						if runs > 1 {
+							t.Errorf("%s: ran %d times", id, runs)
+						}
+					}
+				})
+			}
+			workers.Wait()
+			require.NotZero(t, unknown.Load())
+			require.NotZero(t, served.Load())
+			require.Zero(t, reused.Load(), "connections used after a stray answer")
+		})
+	}
+}
