Test that a stray answer neither gives a claim back nor is stored

A claim is given back on the word of a rejection and keeps a response for repeats, so both depend on whose the answer is. No logic changes.

--- a/internal/backend/claim_test.go
+++ b/internal/backend/claim_test.go
@@ -1,10 +1,12 @@
 package backend
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -220,3 +222,49 @@
 	req.Header.Set(mesh.RouteHeader, "new")
 	send(t, req).requireRefusal(t, fault.NotReady, fault.NotRun)
 }
+
+// TestClaimKeptAfterStrayAnswer guards against a claim that is given back, or a response
+// that is stored for repeats, by an answer that belongs to another request, so that a
+// repeat of the request runs again or gets that answer.
+func TestClaimKeptAfterStrayAnswer(t *testing.T) {
+	rejection := "HTTP/1.1 503 Service Unavailable\r\n" + fault.RunHeader + ": not-run\r\n%sContent-Length: 0\r\n\r\n"
+	otherID := mesh.RequestHeader + ": other\r\n"
+	for name, stray := range map[string]string{
+		"rejection of another request": fmt.Sprintf(rejection, otherID),
+		"rejection without a request":  fmt.Sprintf(rejection, ""),
+		"answer to another request":    answer("other", "booked"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			addr := newFaultyServer(t, func(conn net.Conn, r *bufio.Reader) {
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if req.Header.Get(IdempotencyKeyHeader) != "" {
+						runs.Add(1)
+					}
+					if n == 1 {
+						_, _ = io.WriteString(conn, stray)
+					}
+					_, _ = io.WriteString(conn, answer(req.Header.Get(mesh.RequestHeader), "seat"))
+				}
+			})
+			f := &claimFixture{table: &table{owners: make(map[string]string)}}
+			for i := range f.gates {
+				f.gates[i] = newTestGate(t, addr, func(c *Config) {
+					c.Claim, c.ReleaseClaim, c.ClaimTTL = f.table.claim, f.table.release, time.Hour
+				})
+			}
+			require.Equal(t, http.StatusOK, send(t, f.gates[0].request(t, http.MethodPost, "x", time.Second)).status)
+			f.send(t, 0, "k").requireRefusal(t, fault.OutcomeUnknown, fault.RunUnknown)
+			require.Len(t, f.table.owners, 1, "the claim was given back")
+			for i := range f.gates {
+				f.send(t, i, "k").requireRefusal(t, fault.OutcomeUnknown, fault.RunUnknown)
+			}
+			require.EqualValues(t, 1, runs.Load())
+		})
+	}
+}
