--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -277,6 +277,9 @@
 	if ms, err := strconv.ParseInt(h.Get(mesh.StartHeader), 10, 64); err == nil {
 		c.AdmitBy = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
+	if ms, err := strconv.ParseInt(h.Get(mesh.EndHeader), 10, 64); err == nil {
+		c.EndBy = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
 	return c, nil
 }
 
@@ -323,8 +326,6 @@
 		return fault.Newf(fault.NoEndpoint, "the backend server is of service %q, not %q", g.endpoint.service, c.service)
 	case state == member.Starting:
 		return fault.New(fault.NotReady, "the backend server is starting")
-	case state == member.Yielding && c.Deadline.After(g.stopTime):
-		return fault.New(fault.Draining, "the node beside the backend server stops before the deadline")
 	case state == member.Unhealthy:
 		return fault.New(fault.NoEndpoint, "the backend server is unhealthy")
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -23,10 +23,9 @@
 	// StopServing closes the listener, and for connections that never carry
 	// one.
 	closeTimeout = 250 * time.Millisecond
-	// startMargin is the time before the end of the process at which a request
-	// must have left the queue of its gate, so that a refusal still reaches its
-	// caller.
-	startMargin    = 300 * time.Millisecond
+	// stopMargin is the time before the end of the process at which a request
+	// must have ended, so that its response still reaches its caller.
+	stopMargin     = 300 * time.Millisecond
 	drainedMessage = "caller drained"
 )
 
@@ -49,9 +48,29 @@
 		MaxHeaderBytes:    headerReadFactor * c.cfg.MaxHeader,
 		ErrorLog:          zap.NewStdLog(c.cfg.Log),
 		ConnState:         c.connState,
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, nc)
+		},
 	}
 }
 
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// setAbortive sets whether closing the connection of r resets it, however it is
+// closed. It has no effect on a connection that cannot be reset.
+func setAbortive(r *http.Request, abortive bool) {
+	nc, ok := r.Context().Value(connKey{}).(interface{ SetLinger(sec int) error })
+	if !ok {
+		return
+	}
+	sec := -1
+	if abortive {
+		sec = 0
+	}
+	_ = nc.SetLinger(sec) // fails if the connection is closed
+}
+
 func (c *Caller) connState(nc net.Conn, s http.ConnState) {
 	if c.cfg.ConnState != nil {
 		c.cfg.ConnState(nc, s)
@@ -73,10 +92,11 @@
 }
 
 // PrepareStop makes each response ask the caller to close its connection.
-// Requests are still served, but must leave the queue of their gate startMargin
-// before the given end of the process, so that any request unanswered at that
-// time is running at a backend server.
+// Requests are still served if they end stopMargin before the given end of the
+// process, or are expected to. Their gates refuse the others.
 func (c *Caller) PrepareStop(by time.Time) {
+	switched := time.Now().Add(c.cfg.SwitchTime)
+	c.switchedAt.Store(&switched)
 	c.stopBy.Store(&by)
 	c.draining.Store(true)
 }
