Refuse a response whose header begins with a part of an earlier one

What callers could see: 503 for an unsafe request that a backend server ran, or the status of an earlier answer with the body of their own.

Cause: a backend server that writes an earlier answer once more may break off inside its reason phrase or a header value. The answer to the request follows on the same line, so that both parse as one response: with the status and the first fields, which may be "not executed" or 421, of the earlier answer, and with the request id, signature and body of the other. The comparison of the ids finds nothing, since the id is the request's own.

Such a header always contains the second status line, in the reason phrase or in a value. hop.Transport now treats it as a response that cannot be read, if the connection has carried a request before: its outcome is unknown, and the connection is aborted.

--- a/internal/hop/stray_test.go
+++ b/internal/hop/stray_test.go
@@ -123,3 +123,14 @@
 	clear(p)
 	return len(p), nil
 }
+
+// TestStatusLineInHeader guards against an ordinary header value that counts as a second
+// status line.
+func TestStatusLineInHeader(t *testing.T) {
+	for _, s := range []string{"", "HTTP/1.1", "1.1 proxy", "HTTP/1.1 proxy", "SimpleHTTP/0.6 Python/3.12", "HTTP/1.1 2000", "HTTP/1.1  200", "HTTP/1.1 20", "HTTP/2 200"} {
+		require.False(t, hasStatusLine(s), s)
+	}
+	for _, s := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 503", "text/plHTTP/1.1 200 OK", "a\rHTTP/1.1 200 OK", "HTTP/1.1 HTTP/1.1 200 OK", "421 HTTP/1.1 200 "} {
+		require.True(t, hasStatusLine(s), s)
+	}
+}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -148,6 +148,12 @@
 		x.Sent = tracker.abort()
 		return nil, x, err
 	}
+	// Only a connection that has carried a request can repeat its response.
+	if x.Requests > 1 && isSpliced(resp) {
+		resp.Body.Close()
+		x.Sent = tracker.abort()
+		return nil, x, errSplicedHead
+	}
 	x.Sent = MayHaveRun
 	return resp, x, nil
 }
