Answer a request at once whose caller waits for 100 Continue

A node sends a request with a body above 64 KiB with Expect: 100-continue. A refusal of the gate, or the failure of the backend server, reached the node only after it gave up waiting and sent the body, 1 s later. The body can be sent once, so the request could not be sent to another endpoint then.

Two things hid from net/http that the caller waits. The limited body replaced that of the request, so the server read the body before it wrote the response; LimitBody now returns the body. The transport closed the body of a broken request, and this close waits for the body, too; the body of an outgoing request no longer passes Close on, since the server closes it.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -68,6 +68,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	body := hop.LimitBody(w, r, g.conf.MaxBody)
+	r = r.WithContext(ctx)
+	r.Body = body
 	if e := g.readBody(w, r, c); e != nil {
 		g.refuse(w, c, e)
 		return
@@ -225,13 +228,12 @@
 const bodyGrace = 100 * time.Millisecond
 
 // readBody reads a small request body before admission, so that a slow caller
-// holds no slot. For a larger body it sets the read deadline and the size limit.
+// holds no slot. For a larger body it sets the read deadline.
 func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline.Add(bodyGrace))
-	hop.LimitBody(w, r, g.conf.MaxBody)
 	if err := hop.ReadSmallRequest(r); err != nil {
 		if time.Now().After(c.Deadline) {
 			return contextRefusal(context.DeadlineExceeded, fault.NotRun)
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -44,13 +44,13 @@
 		return nil
 	}
 	q.hasBody = true
-	hop.LimitBody(q.w, in, c.cfg.MaxBody)
+	limited := hop.LimitBody(q.w, in, c.cfg.MaxBody)
 	rc := http.NewResponseController(q.w)
 	if in.ContentLength > maxBufferedBytes {
-		q.body.rest = in.Body
+		q.body.rest = limited
 	} else {
 		_ = rc.SetReadDeadline(q.deadline)
-		if e := q.body.readAhead(in.Body, in.ContentLength); e != nil {
+		if e := q.body.readAhead(limited, in.ContentLength); e != nil {
 			return e
 		}
 	}
--- a/internal/hop/request.go
+++ b/internal/hop/request.go
@@ -27,6 +27,10 @@
 // sending it.
 var ErrReadRequest = errors.New("hop: request body")
 
+// Close does nothing. The server closes the body; net/http would otherwise wait here
+// for one that its caller holds back until it gets 100 Continue.
+func (b *singleUseBody) Close() error { return nil }
+
 // Read implements io.Reader.
 func (b *singleUseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
@@ -152,10 +156,13 @@
 	return nil
 }
 
-// LimitBody makes reads of the body of in fail with *http.MaxBytesError after
-// maxBody bytes. A maxBody of 0 means no limit.
-func LimitBody(w http.ResponseWriter, in *http.Request, maxBody int64) {
+// LimitBody returns the body of in, whose reads fail with *http.MaxBytesError
+// after maxBody bytes. A maxBody of 0 means no limit. The body must not replace
+// that of in: net/http recognizes from its own one that the caller waits for
+// 100 Continue, and would otherwise wait for the body before it responds.
+func LimitBody(w http.ResponseWriter, in *http.Request, maxBody int64) io.ReadCloser {
 	if maxBody > 0 && in.Body != nil && in.Body != http.NoBody {
-		in.Body = http.MaxBytesReader(w, in.Body, maxBody)
+		return http.MaxBytesReader(w, in.Body, maxBody)
 	}
+	return in.Body
 }
--- a/internal/hop/response_test.go
+++ b/internal/hop/response_test.go
@@ -29,7 +29,9 @@
 			fault.Write(w, e, "")
 			return
 		}
-		LimitBody(w, r, 1<<20)
+		body := LimitBody(w, r, 1<<20)
+		r = r.WithContext(r.Context())
+		r.Body = body
 		resp, _, err := tr.RoundTrip(r.Context(), OutgoingRequest(r, mesh.Addr(addr)))
 		if err != nil {
 			fault.Write(w, fault.New(fault.OutcomeUnknown, err.Error()), "")
