Break off a truncated response at once while its request body is due

A caller that waits for 100 Continue did not learn that its response was truncated: the node kept the connection open until its read deadline, and the gate until the caller gave up. net/http reads the rest of the request body before it closes the connection of an aborted handler, and a caller that has the head of the response sends no body.

hop.Abort takes over the connection and closes it. The node and the gate use it for all truncated responses.

--- a/internal/backend/expect_test.go
+++ b/internal/backend/expect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -72,3 +73,29 @@
 	r.read = true
 	return r.Reader.Read(p)
 }
+
+// TestTruncatedWhileBodyIsDue guards against a truncated response whose connection stays
+// open until the deadline, since the caller holds back its body.
+func TestTruncatedWhileBodyIsDue(t *testing.T) {
+	addr := newFaultyServer(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart")
+			time.Sleep(20 * time.Millisecond) // the gate begins to read the body
+		}
+	})
+	g := newTestGate(t, addr, nil)
+	req := g.request(t, http.MethodPost, strings.Repeat("x", 100_000), 5*time.Second)
+	req.Header.Set("Expect", "100-continue")
+	tr := hop.New(hop.Config{})
+	defer tr.CloseIdle()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	resp, _, err := tr.RoundTrip(ctx, req)
+	if err == nil {
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	require.Error(t, err)
+	require.Less(t, time.Since(start), 500*time.Millisecond)
+}
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -124,7 +124,7 @@
 		c.counts.aborted.Add(1)
 		c.cfg.Log.Info("response interrupted", zap.String("request", string(q.id)),
 			zap.String("endpoint", string(a.endpoint.ID)), zap.Bool("caller_left", q.canceled()), zap.Error(err))
-		panic(http.ErrAbortHandler)
+		hop.Abort(q.w)
 	}
 	hop.CopyTrailer(q.w, resp)
 	if untilClose {
--- a/internal/caller/truncated_test.go
+++ b/internal/caller/truncated_test.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/hop"
 )
 
 // TestTruncatedHTTP10 guards against a truncated response that looks complete to an
@@ -67,3 +70,27 @@
 		})
 	}
 }
+
+// TestTruncatedWhileBodyIsDue guards against a truncated response whose connection stays
+// open until the deadline, since the caller holds back its body.
+func TestTruncatedWhileBodyIsDue(t *testing.T) {
+	g := newGate(t, "e1", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		hop.Abort(w)
+	})
+	b := newTestCaller(t, g)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	start := time.Now()
+	_, err = io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: h.example\r\nContent-Length: 100000\r\nExpect: 100-continue\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	require.Error(t, err)
+	require.Less(t, time.Since(start), 500*time.Millisecond)
+}
--- a/internal/hop/response.go
+++ b/internal/hop/response.go
@@ -24,17 +24,27 @@
 
 // CopyResponse writes resp to w, without its hop-by-hop fields, and closes its
 // body. Its header fields are added to those that w already has. If the body is
-// not complete, CopyResponse panics with http.ErrAbortHandler, so that the
-// response never ends cleanly. The status of resp must not be 101.
+// not complete, CopyResponse calls Abort. The status of resp must not be 101.
 func CopyResponse(w http.ResponseWriter, resp *http.Response) {
 	defer resp.Body.Close()
 	CopyHeader(w, resp)
 	if _, err := CopyBody(w, resp.Body, IsStreaming(resp)); err != nil {
-		panic(http.ErrAbortHandler)
+		Abort(w)
 	}
 	CopyTrailer(w, resp)
 }
 
+// Abort breaks off the response w at once, so that it never ends cleanly. It
+// panics with http.ErrAbortHandler.
+func Abort(w http.ResponseWriter) {
+	// Before it closes the connection, net/http waits for the rest of a request body,
+	// which the caller may hold back. HTTP/2 resets the stream instead.
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		c.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // CopyHeader writes the status and header of resp to w, without its hop-by-hop
 // fields, and declares its trailers.
 func CopyHeader(w http.ResponseWriter, resp *http.Response) {
