Count early bytes for the request that they came before

Two cases were not counted: bytes that arrive on a new connection before the first request is assigned to it, and early bytes of an answer without a body, whose connection the transport assigns to the next request, which reset the count, before the count is read.

Each request has its own count now, and that of the first request begins with the connection.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -31,23 +31,37 @@
 	writeMu sync.Mutex // held during a write
 	broken  bool       // a write got the error of the connection; guarded by writeMu
 
-	requests atomic.Int64 // requests that were assigned to the connection
-	waiting  atomic.Bool  // a request is assigned, and none of its bytes is written
-	early    atomic.Int64 // bytes received while waiting, for the current request
+	requests atomic.Int64                 // requests that were assigned to the connection
+	waiting  atomic.Bool                  // c is new or assigned to a request, of which no byte is written
+	early    atomic.Pointer[atomic.Int64] // bytes received while waiting, for the current request
 }
 
-// begin records that a request was assigned to c and returns its number.
-func (c *conn) begin() int64 {
-	c.early.Store(0)
+// newConn returns nc with the number id. Bytes that arrive before its first request
+// count as early for that request.
+func newConn(nc net.Conn, id ConnID) *conn {
+	c := &conn{Conn: nc, id: id}
+	c.early.Store(new(atomic.Int64))
 	c.waiting.Store(true)
-	return c.requests.Add(1)
+	return c
+}
+
+// begin records that a request was assigned to c. It returns the number of the request
+// and its count of early bytes. Each request has its own count, since the transport may
+// assign c to the next request before the count is read.
+func (c *conn) begin() (requests int64, early *atomic.Int64) {
+	requests = c.requests.Add(1)
+	if requests > 1 {
+		c.early.Store(new(atomic.Int64))
+	}
+	c.waiting.Store(true)
+	return requests, c.early.Load()
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.waiting.Load() {
-		c.early.Add(int64(n))
+		c.early.Load().Add(int64(n))
 	}
 	if errors.Is(err, io.EOF) && c.isBroken() {
 		err = errReset
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -124,7 +125,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: nc, id: ConnID(lastConnID.Add(1))}, nil
+		return newConn(nc, ConnID(lastConnID.Add(1))), nil
 	}
 }
 
@@ -159,9 +160,10 @@
 type connTracker struct {
 	mu         sync.Mutex
 	conn       *conn
-	startBytes int64 // bytes written to conn before this request
-	requests   int64 // requests that conn has carried, this one included
-	multiple   bool  // more than one connection was used
+	startBytes int64         // bytes written to conn before this request
+	requests   int64         // requests that conn has carried, this one included
+	early      *atomic.Int64 // bytes received before this request was written
+	multiple   bool          // more than one connection was used
 }
 
 func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
@@ -172,7 +174,8 @@
 		t.multiple = true
 		return
 	}
-	t.conn, t.startBytes, t.requests = c, c.written.Load(), c.begin()
+	t.conn, t.startBytes = c, c.written.Load()
+	t.requests, t.early = c.begin()
 }
 
 // exchange returns what is known of the connection.
@@ -182,7 +185,7 @@
 	if t.conn == nil {
 		return Exchange{}
 	}
-	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.conn.early.Load(), conn: t.conn}
+	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.early.Load(), conn: t.conn}
 }
 
 // abort aborts the connection of a failed request and reports whether the request
--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -156,11 +156,11 @@
 
 	peer, sender := net.Pipe()
 	defer sender.Close()
-	c := &conn{Conn: peer}
+	c := newConn(peer, 1)
 	defer c.Close()
-	c.begin()
+	_, early := c.begin()
 	go func() { _, _ = io.WriteString(sender, "early") }() // fails if the read below did
 	_, err := c.Read(make([]byte, 16))
 	require.NoError(t, err)
-	require.EqualValues(t, 5, c.early.Load())
+	require.EqualValues(t, 5, early.Load())
 }
