Report a request as not sent if its connection was aborted before it was written

A connection is aborted when it brings an answer to another request. An answer without a body has returned it to the pool by then, so the next request may already be assigned to it. The write of that request failed, but its bytes stayed in the count, so it ended as outcome_unknown although nothing was sent.

A refused write takes its bytes back. abort still counts every byte that may be sent: a write that sees the flag sends nothing.

TestAbortBeforeWrite failed before with may-have-run.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -87,6 +87,7 @@
 	c.waiting.Store(false)
 	c.written.Add(int64(len(p)))
 	if c.aborted.Load() {
+		c.written.Add(-int64(len(p)))
 		return 0, errAborted
 	}
 	n, err := c.Conn.Write(p)
--- a/internal/hop/early_test.go
+++ b/internal/hop/early_test.go
@@ -51,3 +51,16 @@
 	require.EqualValues(t, 5, first.exchange().Early)
 	require.Zero(t, second.exchange().Early)
 }
+
+// TestAbortBeforeWrite guards against a request that counts as possibly run although its
+// connection was aborted for an earlier request before any of it was written.
+func TestAbortBeforeWrite(t *testing.T) {
+	c, _ := earlyConn(t)
+	var first, second connTracker
+	first.gotConn(httptrace.GotConnInfo{Conn: c})
+	second.gotConn(httptrace.GotConnInfo{Conn: c})
+	first.exchange().Abort()
+	_, err := c.Write([]byte("POST"))
+	require.Error(t, err)
+	require.Equal(t, NothingSent, second.abort())
+}
