Do not believe a rejection without an id from backend servers that echo ids

A rejection that names no request counted as that of the first request of its connection. A backend server that writes one when it accepts a connection, and then runs the request that it reads, so had requests refused as not run that ran: bytes that arrive while the request is being written are not early.

Backend servers of the platform name the request in each response, so such a rejection is outcome_unknown there. In the mesh's own dialect, where naming the request is optional, it is still believed on the first request.

TestOwner checks each rule of checkOwner alone; no test failed before without the rule for early bytes, with only the first of several ids compared, or without the rule for other answers without an id.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -481,7 +481,7 @@
 	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
 	notRun := fault.RunState(resp.Header.Get(fault.RunHeader)) == fault.NotRun
 	g.metrics.recordAnswer(c, notRun)
-	if e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun || g.conf.Dialect.EchoesID); e != nil {
+	if e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun, g.conf.Dialect.EchoesID); e != nil {
 		resp.Body.Close()
 		// The answer to c may still be to come.
 		c.exchange.Abort()
