Log why the gate broke off a response

A response whose body the backend server truncated was broken off by the gate without a log line; only gate_aborted counted it, and the node that forwarded the request logged "unexpected EOF". hop.CopyResponse now returns the error, and the gate logs it as "response interrupted" with the connection.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -506,15 +506,9 @@
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(fault.RunHeader) == string(fault.NotRun)
 }
 
-// writeResponse writes resp to w. It panics with http.ErrAbortHandler if the body
-// is truncated.
+// writeResponse writes resp to w. If the body is truncated, it logs the reason and
+// breaks off the response, which panics.
 func (g *Gate) writeResponse(w http.ResponseWriter, c *call, resp *http.Response) {
-	ok := false
-	defer func() {
-		if !ok {
-			g.metrics.aborted.Add(1)
-		}
-	}()
 	h := resp.Header
 	h.Del(mesh.PressureHeader)
 	h.Del(mesh.LoadHeader)
@@ -532,8 +526,12 @@
 	}
 	h.Set(mesh.RequestHeader, string(c.id))
 	g.setLoadHeaders(w, c.Rank)
-	hop.CopyResponse(w, resp)
-	ok = true
+	if err := hop.CopyResponse(w, resp); err != nil {
+		g.metrics.aborted.Add(1)
+		g.log.Info("response interrupted", zap.String("request", string(c.id)), zap.String("attempt", c.attempt),
+			zap.Int("status", resp.StatusCode), zap.Object("connection", c.exchange), zap.Error(err))
+		hop.Abort(w)
+	}
 	if c.latency > 0 {
 		g.metrics.serviceTime.record(c.Rank, c.latency)
 	}
--- a/internal/hop/response.go
+++ b/internal/hop/response.go
@@ -23,15 +23,17 @@
 var ErrReadResponse = errors.New("hop: response body was cut short")
 
 // CopyResponse writes resp to w, without its hop-by-hop fields, and closes its
-// body. Its header fields are added to those that w already has. If the body is
-// not complete, CopyResponse calls Abort. The status of resp must not be 101.
-func CopyResponse(w http.ResponseWriter, resp *http.Response) {
+// body. Its header fields are added to those that w already has. After an error
+// the body is not complete, and the caller must call Abort. The status of resp
+// must not be 101.
+func CopyResponse(w http.ResponseWriter, resp *http.Response) error {
 	defer resp.Body.Close()
 	CopyHeader(w, resp)
 	if _, err := CopyBody(w, resp.Body, IsStreaming(resp)); err != nil {
-		Abort(w)
+		return err
 	}
 	CopyTrailer(w, resp)
+	return nil
 }
 
 // Abort breaks off the response w at once, so that it never ends cleanly. It
--- a/internal/hop/response_test.go
+++ b/internal/hop/response_test.go
@@ -37,7 +37,9 @@
 			fault.Write(w, fault.New(fault.OutcomeUnknown, err.Error()), "")
 			return
 		}
-		CopyResponse(w, resp)
+		if err := CopyResponse(w, resp); err != nil {
+			Abort(w)
+		}
 	}))
 	t.Cleanup(s.Close)
 	t.Cleanup(tr.CloseIdle)
