--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -166,6 +166,20 @@
 	require.Equal(t, "1", b.reg.CounterGroup("invariant_broken").Get("request_id").String())
 }
 
+// TestCrossedEndsConnection guards against a request on a connection whose last response
+// belonged to another request, so that the response that is due may still come.
+func TestCrossedEndsConnection(t *testing.T) {
+	senders := make(chan string, 2)
+	b := newTestCaller(t, newGate(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		senders <- r.RemoteAddr
+		w.Header().Set(mesh.RequestHeader, "other")
+	}))
+	for range cap(senders) {
+		require.Equal(t, fault.OutcomeUnknown, b.do("POST", "/book", "x").kind())
+	}
+	require.NotEqual(t, <-senders, <-senders)
+}
+
 // TestDeadline guards against a request that outlives its deadline, and against
 // one that is reported as not run although the endpoint received it.
 func TestDeadline(t *testing.T) {
