Do not believe a second rejection of the same request on one connection

An id may come again: a client or a call of a backend server may repeat a request with its id, and the attempt may get the same kept connection. A late copy of the rejection of the earlier attempt then bears the right id, and counted as the rejection of the attempt that runs.

The gate records the connection and the id of each rejection, and a second one of the same pair is outcome_unknown. A backend server that does reject both attempts on one connection gets the second one reported as unknown, too.

TestRejectionOfEarlierAttempt failed before: not run for the attempt that ran.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -113,7 +113,8 @@
 	log            *zap.Logger
 	metrics        *metrics
 	claims         *claims
-	recentAttempts *recentAttempts
+	recentAttempts *recent[attempt]
+	rejections     *recent[rejection]
 
 	mu       sync.Mutex // guards the fields below
 	machine  *admit.Machine
@@ -132,7 +133,7 @@
 // New returns a Gate without an endpoint.
 func New(c Config) *Gate {
 	c = c.withDefaults()
-	g := &Gate{conf: c, log: c.Log, recentAttempts: newRecentAttempts(), idle: make(chan struct{})}
+	g := &Gate{conf: c, log: c.Log, recentAttempts: newRecent[attempt](), rejections: newRecent[rejection](), idle: make(chan struct{})}
 	g.machine = admit.New(c.Admission, time.Now())
 	g.metrics = newMetrics(c.Metrics, g)
 	g.claims = newClaims(c, g.metrics)
--- a/internal/backend/owner_test.go
+++ b/internal/backend/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -93,3 +94,42 @@
 	require.NotZero(t, total)
 	require.Zero(t, wrong, "of %d requests that ran, stated as not run; %d refused as not run", total, len(notRun))
 }
+
+// TestRejectionOfEarlierAttempt guards against a late copy of the rejection of an earlier
+// attempt with the same id that counts as the answer to the next attempt, which runs.
+func TestRejectionOfEarlierAttempt(t *testing.T) {
+	ran := make(chan struct{}, 1)
+	addr := newFaultyServer(t, func(conn net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Rejected\r\nLavenderrill-Request-Id: %s\r\nLavenderrill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+				req.Header.Get("Lavenderrill-Request-Id"))
+			if n > 0 {
+				ran <- struct{}{} // the answer above is a copy of the first one
+			}
+		}
+	})
+	g := newTestGate(t, addr, platformDialect)
+	for attempt := range 2 {
+		req := g.request(t, http.MethodPost, "seat", time.Second)
+		req.Header.Set(mesh.RequestHeader, "r-same")
+		req.Header.Set(mesh.AttemptHeader, fmt.Sprint(attempt+1))
+		p := send(t, req)
+		notRun := p.header.Get(fault.RunHeader) == string(fault.NotRun)
+		if attempt == 0 {
+			require.True(t, notRun)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		select {
+		case <-ran:
+			require.False(t, notRun, "the second attempt has run")
+		case <-time.After(time.Second):
+			t.Fatal("the second attempt used another connection")
+		}
+	}
+}
--- a/internal/backend/recent.go
+++ b/internal/backend/recent.go
@@ -3,11 +3,12 @@
 import (
 	"sync"
 
+	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
-// maxRecentAttempts is the number of attempts that recentAttempts holds.
-const maxRecentAttempts = 4096
+// maxRecent is the number of keys that a recent holds.
+const maxRecent = 4096
 
 // attempt identifies one attempt of a request.
 type attempt struct {
@@ -16,29 +17,34 @@
 	number string
 }
 
-// recentAttempts records the last attempts that were forwarded to the backend
-// server, to detect an attempt that is forwarded twice.
-type recentAttempts struct {
+// rejection identifies the statement on a connection that a request was not run.
+type rejection struct {
+	conn hop.ConnID
+	id   mesh.RequestID
+}
+
+// recent records the last keys, to detect one that occurs twice.
+type recent[K comparable] struct {
 	mu   sync.Mutex
-	seen map[attempt]struct{}
-	ring [maxRecentAttempts]attempt
+	seen map[K]struct{}
+	ring [maxRecent]K
 	next int
 }
 
-func newRecentAttempts() *recentAttempts {
-	return &recentAttempts{seen: make(map[attempt]struct{}, maxRecentAttempts)}
+func newRecent[K comparable]() *recent[K] {
+	return &recent[K]{seen: make(map[K]struct{}, maxRecent)}
 }
 
-// markSeen records a and reports whether it was already recorded.
-func (r *recentAttempts) markSeen(a attempt) bool {
+// markSeen records k and reports whether it was already recorded.
+func (r *recent[K]) markSeen(k K) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.seen[a]; ok {
+	if _, ok := r.seen[k]; ok {
 		return true
 	}
 	delete(r.seen, r.ring[r.next])
-	r.ring[r.next] = a
-	r.seen[a] = struct{}{}
-	r.next = (r.next + 1) % maxRecentAttempts
+	r.ring[r.next] = k
+	r.seen[k] = struct{}{}
+	r.next = (r.next + 1) % maxRecent
 	return false
 }
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -481,7 +481,11 @@
 	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
 	notRun := fault.RunState(resp.Header.Get(fault.RunHeader)) == fault.NotRun
 	g.metrics.recordAnswer(c, notRun)
-	if e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun, g.conf.Dialect.EchoesID); e != nil {
+	e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun, g.conf.Dialect.EchoesID)
+	if e == nil && notRun && g.rejections.markSeen(rejection{c.exchange.Conn, c.id}) {
+		e = fault.New(fault.OutcomeUnknown, "the rejection may be a copy of that of an earlier attempt")
+	}
+	if e != nil {
 		resp.Body.Close()
 		// The answer to c may still be to come.
 		c.exchange.Abort()
