--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -223,7 +223,7 @@
 	s.received = make([]atomic.Int64, len(s.cuts))
 	core, logs := observer.New(zap.InfoLevel)
 	g := newTestGate(t, newFaultyServer(t, s.serve), func(c *Config) {
-		c.Dialect = Dialect{Request: platform.TranslateRequest, Response: platform.TranslateResponse}
+		c.Dialect = Dialect{Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: platform.ResponseRefusal, EchoesID: true}
 		c.Pacer = hop.NewPacer(1 << 30)
 		c.Log = zap.New(core)
 	})
