--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -50,6 +50,10 @@
 func (g *Gate) HopHandler() http.Handler { return http.HandlerFunc(g.serve) }
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(mesh.WantHeader) == mesh.WantEnd {
+		g.serveEndNotice(w, r)
+		return
+	}
 	c, e := g.newCall(r)
 	// Without this deadline, a caller that stops reading would hold its slot
 	// forever. It is set for every request, since net/http keeps it for the next
@@ -68,6 +72,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	body := hop.LimitBody(w, r, g.conf.MaxBody)
+	r = r.WithContext(ctx)
+	r.Body = body
 	if e := g.readBody(w, r, c); e != nil {
 		g.refuse(w, c, e)
 		return
@@ -225,13 +232,12 @@
 const bodyGrace = 100 * time.Millisecond
 
 // readBody reads a small request body before admission, so that a slow caller
-// holds no slot. For a larger body it sets the read deadline and the size limit.
+// holds no slot. For a larger body it sets the read deadline.
 func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline.Add(bodyGrace))
-	hop.LimitBody(w, r, g.conf.MaxBody)
 	if err := hop.ReadSmallRequest(r); err != nil {
 		if time.Now().After(c.Deadline) {
 			return contextRefusal(context.DeadlineExceeded, fault.NotRun)
@@ -481,7 +487,11 @@
 	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
 	notRun := fault.RunState(resp.Header.Get(fault.RunHeader)) == fault.NotRun
 	g.metrics.recordAnswer(c, notRun)
-	if e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun || g.conf.Dialect.EchoesID); e != nil {
+	e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun, g.conf.Dialect.EchoesID)
+	if e == nil && notRun && g.rejections.markSeen(rejection{c.exchange.Conn, c.id}) {
+		e = fault.New(fault.OutcomeUnknown, "the rejection may be a copy of that of an earlier attempt")
+	}
+	if e != nil {
 		resp.Body.Close()
 		// The answer to c may still be to come.
 		c.exchange.Abort()
@@ -507,15 +517,9 @@
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(fault.RunHeader) == string(fault.NotRun)
 }
 
-// writeResponse writes resp to w. It panics with http.ErrAbortHandler if the body
-// is truncated.
+// writeResponse writes resp to w. If the body is truncated, it logs the reason and
+// breaks off the response, which panics.
 func (g *Gate) writeResponse(w http.ResponseWriter, c *call, resp *http.Response) {
-	ok := false
-	defer func() {
-		if !ok {
-			g.metrics.aborted.Add(1)
-		}
-	}()
 	h := resp.Header
 	h.Del(mesh.PressureHeader)
 	h.Del(mesh.LoadHeader)
@@ -533,8 +537,12 @@
 	}
 	h.Set(mesh.RequestHeader, string(c.id))
 	g.setLoadHeaders(w, c.Rank)
-	hop.CopyResponse(w, resp)
-	ok = true
+	if err := hop.CopyResponse(w, resp); err != nil {
+		g.metrics.aborted.Add(1)
+		g.log.Info("response interrupted", zap.String("request", string(c.id)), zap.String("attempt", c.attempt),
+			zap.Int("status", resp.StatusCode), zap.Object("connection", c.exchange), zap.Error(err))
+		hop.Abort(w)
+	}
 	if c.latency > 0 {
 		g.metrics.serviceTime.record(c.Rank, c.latency)
 	}
--- a/internal/hop/response_test.go
+++ b/internal/hop/response_test.go
@@ -29,13 +29,17 @@
 			fault.Write(w, e, "")
 			return
 		}
-		LimitBody(w, r, 1<<20)
+		body := LimitBody(w, r, 1<<20)
+		r = r.WithContext(r.Context())
+		r.Body = body
 		resp, _, err := tr.RoundTrip(r.Context(), OutgoingRequest(r, mesh.Addr(addr)))
 		if err != nil {
 			fault.Write(w, fault.New(fault.OutcomeUnknown, err.Error()), "")
 			return
 		}
-		CopyResponse(w, resp)
+		if err := CopyResponse(w, resp); err != nil {
+			Abort(w)
+		}
 	}))
 	t.Cleanup(s.Close)
 	t.Cleanup(tr.CloseIdle)
