Excuse a cut request only for a stop that its node could not foresee

The soak excused a request that a stopping node cut in the last sixth of its grace time if it was sent up to 3 s after the SIGTERM, whichever node stopped. The rule gives that time to the node that took the request; the one that ran it knows of its stop and refuses what it cannot finish.

--- a/internal/trial/soak_audit_test.go
+++ b/internal/trial/soak_audit_test.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// stopTail is the end of the grace time in which a node may give up requests that were
-// sent before lateSend after its SIGTERM.
+// stopTail is the end of the grace time in which a node may give up requests that it took
+// no later than lateSend after its SIGTERM.
 const (
 	stopTail = hostedGrace / 6
 	lateSend = 3 * time.Second
@@ -225,10 +225,14 @@
 
 // excusedByStop reports whether the backend server was still at work on r, a long request,
 // in the last part of the grace time of a node, and r was sent no later than lateSend after
-// the SIGTERM.
+// the SIGTERM of the node that took it, or before that of the node that ran it.
 func (s *soak) excusedByStop(r *soakResponse, run *soakRun) bool {
 	return r.request.work > 0 && slices.ContainsFunc(s.stopsDuring(r, run), func(p *faultSpan) bool {
-		return !r.sent.After(p.begin.Add(lateSend)) && (run.ended.IsZero() || run.ended.After(p.begin.Add(hostedGrace-stopTail)))
+		latest := p.begin
+		if p.node == r.node {
+			latest = latest.Add(lateSend)
+		}
+		return !r.sent.After(latest) && (run.ended.IsZero() || run.ended.After(p.begin.Add(hostedGrace-stopTail)))
 	})
 }
 
