--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -50,6 +50,10 @@
 func (g *Gate) HopHandler() http.Handler { return http.HandlerFunc(g.serve) }
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(mesh.WantHeader) == mesh.WantEnd {
+		g.serveEndNotice(w, r)
+		return
+	}
 	c, e := g.newCall(r)
 	// Without this deadline, a caller that stops reading would hold its slot
 	// forever. It is set for every request, since net/http keeps it for the next
@@ -68,6 +72,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	body := hop.LimitBody(w, r, g.conf.MaxBody)
+	r = r.WithContext(ctx)
+	r.Body = body
 	if e := g.readBody(w, r, c); e != nil {
 		g.refuse(w, c, e)
 		return
@@ -225,13 +232,12 @@
 const bodyGrace = 100 * time.Millisecond
 
 // readBody reads a small request body before admission, so that a slow caller
-// holds no slot. For a larger body it sets the read deadline and the size limit.
+// holds no slot. For a larger body it sets the read deadline.
 func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline.Add(bodyGrace))
-	hop.LimitBody(w, r, g.conf.MaxBody)
 	if err := hop.ReadSmallRequest(r); err != nil {
 		if time.Now().After(c.Deadline) {
 			return contextRefusal(context.DeadlineExceeded, fault.NotRun)
@@ -481,7 +487,7 @@
 	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
 	notRun := fault.RunState(resp.Header.Get(fault.RunHeader)) == fault.NotRun
 	g.metrics.recordAnswer(c, notRun)
-	if e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun || g.conf.Dialect.EchoesID); e != nil {
+	if e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun, g.conf.Dialect.EchoesID); e != nil {
 		resp.Body.Close()
 		// The answer to c may still be to come.
 		c.exchange.Abort()
