Test that the estimate of a waiting request follows the work that ends

Two parts of the planned stop were not guarded: TestSlowdownAfterStop fails without the check when a waiting request gets a slot, TestRareLongWorkAtStop without the longest service time.

--- a/internal/core/admit/stop_test.go
+++ b/internal/core/admit/stop_test.go
@@ -169,3 +169,30 @@
 		}
 	})
 }
+
+// TestSlowdownAfterStop guards against a waiting request that is admitted by an estimate
+// from before its wait, although requests that ended since then show that it outlasts
+// the node.
+func TestSlowdownAfterStop(t *testing.T) {
+	s := newStopTest(1, time.Second)
+	s.m.StopAt(s.now, s.now.Add(10*time.Second))
+	running, waiting := s.offer(time.Minute), s.offer(time.Minute)
+	require.Equal(t, Admitted, running.State())
+	require.Equal(t, Queued, waiting.State())
+	s.now = s.now.Add(6 * time.Second)
+	s.m.Done(s.now, running, 6*time.Second)
+	require.Same(t, errOutlastsNode, waiting.Refusal())
+}
+
+// TestRareLongWorkAtStop guards against the admission of requests of a rank in which one
+// request outlasted the remaining time among many that were short.
+func TestRareLongWorkAtStop(t *testing.T) {
+	s := newStopTest(2, 6*time.Second)
+	for range 200 {
+		k := s.offer(time.Minute)
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.m.Done(s.now, k, 10*time.Millisecond)
+	}
+	s.m.StopAt(s.now, s.now.Add(5*time.Second))
+	require.Same(t, errOutlastsNode, s.offer(time.Minute).Refusal())
+}
