Do not refuse a waiting request by an estimate that no longer holds

While a node stops, a waiting request expires when it can no longer end before the node, by the service time at its arrival. If the work in flight ended sooner than its age let expect, the request was still refused at that time, as overloaded, "waited too long for the target of the rank".

The end of the wait is computed again when it comes.

TestExpiryByEarlierEstimate failed before: refused with 3.6 s left to start.

--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -320,6 +320,11 @@
 func (m *Machine) dispatch(at time.Duration) {
 	for len(m.expiry) > 0 && m.expiry[0].expiresAt <= at {
 		t := m.expiry[0]
+		if e := t.waitEnd(at); e > at {
+			t.expiresAt = e // the service time has become shorter
+			heap.Fix(&m.expiry, 0)
+			continue
+		}
 		m.dequeue(t)
 		switch {
 		case t.deadline <= at:
@@ -471,7 +476,8 @@
 // would be too long.
 func (m *Machine) enqueue(at time.Duration, t *Ticket) {
 	r := t.rank
-	t.expiresAt = min(t.deadline, t.latestStart(at))
+	t.waitLimit = t.deadline
+	t.expiresAt = t.waitEnd(at)
 	if t.expiresAt < t.deadline && m.waitOf(at, t) > t.expiresAt-at {
 		t.refuse(errOutlastsNode)
 		return
--- a/internal/core/admit/stop.go
+++ b/internal/core/admit/stop.go
@@ -60,6 +60,16 @@
 	return t.endBy - d
 }
 
+// waitEnd returns the end of the wait of t in the queue.
+func (t *Ticket) waitEnd(now time.Duration) time.Duration {
+	return min(t.waitLimit, t.latestStart(now))
+}
+
+// limitWait ends the wait of t in the queue at the given time at the latest.
+func (t *Ticket) limitWait(until time.Duration) {
+	t.waitLimit, t.expiresAt = min(t.waitLimit, until), min(t.expiresAt, until)
+}
+
 // endsInTime reports whether t, if it is admitted now, ends before the node beside the
 // backend server and before the node that sent it.
 func (t *Ticket) endsInTime(now time.Duration) bool { return now <= t.latestStart(now) }
--- a/internal/core/admit/stop_test.go
+++ b/internal/core/admit/stop_test.go
@@ -196,3 +196,24 @@
 	s.m.StopAt(s.now, s.now.Add(5*time.Second))
 	require.Same(t, errOutlastsNode, s.offer(time.Minute).Refusal())
 }
+
+// TestExpiryByEarlierEstimate guards against the refusal of a waiting request by an
+// estimate that no longer holds when its time comes.
+func TestExpiryByEarlierEstimate(t *testing.T) {
+	s := newStopTest(2, 100*time.Millisecond)
+	running := []*Ticket{s.offer(time.Minute), s.offer(time.Minute)}
+	s.now = s.now.Add(4 * time.Second)
+	s.m.StopAt(s.now, s.now.Add(9*time.Second)) // by the age of the work in flight, the last start is in 1 s
+	next := []*Ticket{s.offer(time.Minute), s.offer(time.Minute)}
+	waiting := s.offer(time.Minute)
+	require.Equal(t, Queued, waiting.State(), waiting.Refusal())
+	s.now = s.now.Add(200 * time.Millisecond)
+	for i, k := range running {
+		s.m.Done(s.now, k, 4200*time.Millisecond)
+		require.Equal(t, Admitted, next[i].State())
+	}
+	s.now = s.now.Add(time.Second) // now the last start is in 3.6 s
+	s.m.Tick(s.now)
+	require.True(t, waiting.endsInTime(s.m.at(s.now)))
+	require.Equal(t, Queued, waiting.State(), waiting.Refusal())
+}
--- a/internal/core/admit/target.go
+++ b/internal/core/admit/target.go
@@ -44,10 +44,10 @@
 		return
 	}
 	if m.maxWait > 0 {
-		t.expiresAt = min(t.expiresAt, at+m.maxWait)
+		t.limitWait(at + m.maxWait)
 	}
 	if !t.AdmitBy.IsZero() {
-		t.expiresAt = min(t.expiresAt, m.at(t.AdmitBy))
+		t.limitWait(m.at(t.AdmitBy))
 	}
 	if wait > t.expiresAt-at {
 		t.refuse(errWaitOverDeadline)
@@ -58,7 +58,8 @@
 			t.refuse(errTargetPassed)
 			return
 		}
-		t.late, t.expiresAt = true, min(t.expiresAt, at+maxLateWait)
+		t.late = true
+		t.limitWait(at + maxLateWait)
 		m.push(at, t)
 		return
 	}
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -56,6 +56,7 @@
 	endBy        time.Duration // time by which the request must end, or noDeadline
 	target       time.Duration
 	late         bool          // waits in the late queue
+	waitLimit    time.Duration // end of the wait in the queue, apart from endBy
 	expiresAt    time.Duration // end of the wait in the queue
 	charged      float64       // slot seconds charged at admission
 }
