--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -178,6 +178,11 @@
 	}
 }
 
+// dialect returns the headers of the platform's backend servers.
+func (n *Node) dialect() backend.Dialect {
+	return backend.Dialect{Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: n.responseRefusal, EchoesID: true}
+}
+
 func (n *Node) newGate() *backend.Gate {
 	set := n.nodeSettings.Load()
 	return backend.New(backend.Config{
@@ -185,7 +190,7 @@
 		Snapshot: n.snapshot,
 		// n.peer is read in the call: the gate is built before the peer.
 		OnEndpointChange: func(s mesh.Service, slots int, e member.EndpointState) { n.peer.SetEndpoint(s, slots, e) },
-		Dialect:          backend.Dialect{Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: n.responseRefusal, EchoesID: true},
+		Dialect:          n.dialect(),
 		Lease:            leaseHeartbeats * set.Heartbeat,
 		Paused:           n.pauses.Recent,
 		Pacer:            n.pacer,
