--- a/internal/caller/stray_test.go
+++ b/internal/caller/stray_test.go
@@ -17,20 +17,20 @@
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
-// rawGate is a gate of which the test writes the bytes of each answer.
-type rawGate struct {
+// strayGate is a gate of which the test writes the bytes of each answer.
+type strayGate struct {
 	member.Member
 	mu   sync.Mutex
 	runs map[string]int // by request id
 }
 
-// newRawGate starts a gate that runs each request and writes the answer that f returns for
+// newStrayGate starts a gate that runs each request and writes the answer that f returns for
 // its id and the number of requests before it on the connection.
-func newRawGate(t *testing.T, id string, f func(id string, before int) string) *rawGate {
+func newStrayGate(t *testing.T, id string, f func(id string, before int) string) *strayGate {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	g := &rawGate{runs: make(map[string]int), Member: member.Member{
+	g := &strayGate{runs: make(map[string]int), Member: member.Member{
 		ID: mesh.NodeID(id), Zone: "a", Addr: mesh.Addr(l.Addr().String()), Service: "s", Slots: 20, Endpoint: member.Ready, Incarnation: 1,
 	}}
 	go func() {
@@ -95,7 +95,7 @@
 				}
 				return gateAnswer(id)
 			}
-			g1, g2 := newRawGate(t, "e1", f), newRawGate(t, "e2", f)
+			g1, g2 := newStrayGate(t, "e1", f), newStrayGate(t, "e2", f)
 			b := newTestCaller(t)
 			b.SetMembers([]member.Member{g1.Member, g2.Member})
 			var workers sync.WaitGroup
