--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -18,7 +18,7 @@
 	// SentHeader is set if the request was sent to a backend server.
 	SentHeader = "Lavenderrill-Sent"
 	// ThisOnlyHeader is set if the refusal does not concern other requests.
-	ThisOnlyHeader = "Lavenderrill-Single"
+	ThisOnlyHeader = "Lavenderrill-This-Only"
 )
 
 // Error is an error with a kind and a run state.
