--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -379,3 +379,13 @@
 	}
 	return nil
 }
+
+// TestChunkedHTTP10Response guards against an HTTP/1.0 response with Transfer-Encoding,
+// whose framing is faulty by RFC 9112 section 6.1, that reaches the caller as complete.
+func TestChunkedHTTP10Response(t *testing.T) {
+	const response = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	for _, cut := range []int{0, 5} {
+		g := newTestGate(t, newRawServer(t, response[:len(response)-cut]), nil)
+		send(t, g.request(t, http.MethodPost, "seat", time.Second)).requireRefusal(t, fault.OutcomeUnknown, fault.RunUnknown)
+	}
+}
