Refuse responses of a backend server with a status below 200

A response with status 099 made the gate panic when it wrote the header. The caller got a closed connection, and the log named no reason. Statuses below 200 are outcome_unknown now; interim responses do not reach this check.

TestRunState, case "status below 100", failed before with EOF.

--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -77,6 +77,7 @@
 		{"cuts the header", newRawServer(t, "HTTP/1.1 200 OK\r\nContent-Le"), fault.OutcomeUnknown, fault.RunUnknown},
 		{"cuts a short body", newRawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"), fault.OutcomeUnknown, fault.RunUnknown},
 		{"answers another request", newRawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+mesh.RequestHeader+": other\r\n\r\n"), fault.OutcomeUnknown, fault.RunUnknown},
+		{"status below 100", newRawServer(t, "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n"), fault.OutcomeUnknown, fault.RunUnknown},
 		{"switches protocols", newRawServer(t, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"), fault.OutcomeUnknown, fault.RunUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -497,9 +497,9 @@
 		c.exchange.Abort()
 		return nil, e
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
+	if resp.StatusCode < http.StatusOK {
 		resp.Body.Close()
-		return nil, fault.New(fault.OutcomeUnknown, "the backend server switched protocols")
+		return nil, fault.Newf(fault.OutcomeUnknown, "the backend server answered with status %d", resp.StatusCode)
 	}
 	if f := g.conf.Dialect.Refusal; f != nil {
 		if e := f(resp); e != nil {
