Do not judge long requests at a stop by a history that is too short for them

A gate that had run only short requests of a rank, since its node had just started, took their service times for those of all, admitted a long request of the same rank after its SIGTERM and cut it off.

The work of a rank counts as known only if its first sample is as long ago as the time that is left: longer requests would have ended since. Until then requests are admitted by their deadline alone.

TestShortHistoryAtStop failed before. TestYieldingGateServesShortWork and TestExpiryByEarlierEstimate stop their gates after a history as long as the time that is left; what they check is the same.

--- a/internal/backend/stop_test.go
+++ b/internal/backend/stop_test.go
@@ -92,9 +92,11 @@
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer s.Close()
 	r := newTestGate(t, s.Listener.Addr().String(), nil)
+	const left = 500 * time.Millisecond
 	for range 20 {
 		require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Second)).status)
 	}
-	r.Yield(time.Now().Add(5 * time.Second))
+	time.Sleep(left) // longer requests would have been seen by now
+	r.Yield(time.Now().Add(left))
 	require.Equal(t, http.StatusOK, send(t, r.request(t, http.MethodPost, "", time.Minute)).status)
 }
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -68,6 +68,7 @@
 	credit            float64
 	lastRefill        time.Duration
 	serviceSeconds    float64       // mean service time
+	firstSample       time.Duration // time of the first sample of the service time
 	lastSample        time.Duration // time of the last sample of the service time
 	serviceSamples    int           // samples of the service time, up to initialSamples
 	deviationSeconds  float64       // mean deviation of the service time
@@ -150,6 +151,9 @@
 	r.longest.record(now, d)
 	r.credit += charged - s
 	w := min(maxServiceWeight, float64(now-r.lastSample)/float64(serviceTimeConstant))
+	if r.serviceSamples == 0 {
+		r.firstSample = now
+	}
 	if r.serviceSamples < initialSamples {
 		r.serviceSamples++
 		w = max(w, 1/float64(r.serviceSamples+1)) // the assumed time counts as one sample
--- a/internal/core/admit/stop.go
+++ b/internal/core/admit/stop.go
@@ -39,9 +39,10 @@
 func (l *longestService) max() time.Duration { return max(l.current, l.previous) }
 
 // safeServiceTime returns a service time that requests of r hardly exceed. It reports
-// whether there are enough samples to tell.
-func (r *rank) safeServiceTime(now time.Duration) (time.Duration, bool) {
-	if r.serviceSamples < minKnownSamples {
+// whether that is known: there are enough samples, and requests that take as long as
+// left would have ended since the first one.
+func (r *rank) safeServiceTime(now, left time.Duration) (time.Duration, bool) {
+	if r.serviceSamples < minKnownSamples || now-r.firstSample < left {
 		return 0, false
 	}
 	return max(r.upperServiceTime(), r.longest.max(), ageFactor*r.meanAge(now)), true
@@ -53,7 +54,7 @@
 	if t.endBy == noDeadline || t.deadline <= t.endBy {
 		return noDeadline // the request ends at its deadline at the latest
 	}
-	d, known := t.rank.safeServiceTime(now)
+	d, known := t.rank.safeServiceTime(now, t.endBy-now)
 	if !known {
 		return -1 // before any time of the machine
 	}
--- a/internal/core/admit/stop_test.go
+++ b/internal/core/admit/stop_test.go
@@ -83,7 +83,7 @@
 	require.Equal(t, Admitted, running.State())
 	require.Empty(t, s.m.StopAt(s.now, s.now.Add(10*time.Second)))
 	require.Equal(t, Queued, waiting.State())
-	work, known := waiting.rank.safeServiceTime(s.m.at(s.now))
+	work, known := waiting.rank.safeServiceTime(s.m.at(s.now), 10*time.Second)
 	require.True(t, known)
 	require.GreaterOrEqual(t, work, 2*time.Second)
 	require.Less(t, work, 3*time.Second)
@@ -143,7 +143,7 @@
 				}
 				running = append(running, k)
 				if stopped && k.Deadline.After(end) {
-					d, known := k.rank.safeServiceTime(s.m.at(s.now))
+					d, known := k.rank.safeServiceTime(s.m.at(s.now), end.Sub(s.now))
 					require.True(t, known)
 					require.False(t, s.now.Add(d).After(end))
 				}
@@ -201,6 +201,7 @@
 // estimate that no longer holds when its time comes.
 func TestExpiryByEarlierEstimate(t *testing.T) {
 	s := newStopTest(2, 100*time.Millisecond)
+	s.now = s.now.Add(9 * time.Second) // longer ago than the time that is left
 	running := []*Ticket{s.offer(time.Minute), s.offer(time.Minute)}
 	s.now = s.now.Add(4 * time.Second)
 	s.m.StopAt(s.now, s.now.Add(9*time.Second)) // by the age of the work in flight, the last start is in 1 s
@@ -217,3 +218,17 @@
 	require.True(t, waiting.endsInTime(s.m.at(s.now)))
 	require.Equal(t, Queued, waiting.State(), waiting.Refusal())
 }
+
+// TestShortHistoryAtStop guards against a long request that is admitted on the word of
+// short ones, since no request of its length can have ended yet.
+func TestShortHistoryAtStop(t *testing.T) {
+	const left = 5 * time.Second
+	s := newStopTest(2, 10*time.Millisecond)
+	s.m.StopAt(s.now, s.now.Add(left))
+	require.Same(t, errOutlastsNode, s.offer(time.Minute).Refusal())
+
+	s = newStopTest(2, 10*time.Millisecond)
+	s.now = s.now.Add(left)
+	s.m.StopAt(s.now, s.now.Add(left))
+	require.Equal(t, Admitted, s.offer(time.Minute).State())
+}
