--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -127,7 +127,7 @@
 	if c.bulk && c.AdmitBy.IsZero() && !fromSameVM(r) { // a stopping node sets AdmitBy and cannot wait for a paced response
 		resp.Body = g.conf.Pacer.PaceBody(resp.Body)
 	}
-	g.writeResponse(w, c, resp)
+	g.writeResponse(w, r, c, resp)
 	return nil
 }
 
@@ -497,9 +497,9 @@
 		c.exchange.Abort()
 		return nil, e
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
+	if resp.StatusCode < http.StatusOK {
 		resp.Body.Close()
-		return nil, fault.New(fault.OutcomeUnknown, "the backend server switched protocols")
+		return nil, fault.Newf(fault.OutcomeUnknown, "the backend server answered with status %d", resp.StatusCode)
 	}
 	if f := g.conf.Dialect.Refusal; f != nil {
 		if e := f(resp); e != nil {
@@ -519,7 +519,7 @@
 
 // writeResponse writes resp to w. If the body is truncated, it logs the reason and
 // breaks off the response, which panics.
-func (g *Gate) writeResponse(w http.ResponseWriter, c *call, resp *http.Response) {
+func (g *Gate) writeResponse(w http.ResponseWriter, r *http.Request, c *call, resp *http.Response) {
 	h := resp.Header
 	h.Del(mesh.PressureHeader)
 	h.Del(mesh.LoadHeader)
@@ -541,7 +541,7 @@
 		g.metrics.aborted.Add(1)
 		g.log.Info("response interrupted", zap.String("request", string(c.id)), zap.String("attempt", c.attempt),
 			zap.Int("status", resp.StatusCode), zap.Object("connection", c.exchange), zap.Error(err))
-		hop.Abort(w)
+		hop.Abort(r)
 	}
 	if c.latency > 0 {
 		g.metrics.serviceTime.record(c.Rank, c.latency)
