Write no request to a connection whose last answer is not judged yet

The owner of an answer is now checked within the round trip. A connection that is assigned to a request waits until the check of the request before is done. If it fails, nothing of the next request was written: it did not run and is sent elsewhere, and this does not count as a failed connection to the backend server. Answers of other nodes are checked in the same way.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -436,10 +436,20 @@
 		f(out.Header, c.instance)
 	}
 	start := time.Now()
-	resp, x, err := c.pools.TransportFor(c.bulk).RoundTrip(ctx, out)
+	var foreign *fault.Error
+	resp, x, err := c.pools.TransportFor(c.bulk).RoundTripChecked(ctx, out, func(resp *http.Response, x hop.Exchange) error {
+		if foreign = g.checkOwner(c, resp, x); foreign != nil {
+			return foreign
+		}
+		return nil
+	})
 	c.exchange = x
 	c.mayHaveRun = x.Sent == hop.MayHaveRun
-	if err != nil {
+	switch {
+	case foreign != nil:
+		g.recordResponse(c.endpoint)
+		return nil, foreign
+	case err != nil:
 		return nil, g.roundTripRefusal(ctx, c, x.Sent, err)
 	}
 	latency := time.Since(start)
@@ -469,7 +479,7 @@
 	case errors.Is(err, hop.ErrReadRequest):
 		return fault.Newf(fault.Canceled, "the caller broke off: %w", err).WithRun(run)
 	}
-	if run == fault.NotRun {
+	if run == fault.NotRun && !c.exchange.Aborted {
 		g.recordConnectionFailure(c.endpoint)
 	}
 	g.log.Debug("connection to the backend server failed", zap.Error(err), zap.String("run", string(run)))
@@ -479,24 +489,24 @@
 	return fault.Newf(fault.OutcomeUnknown, "the backend server did not answer: %w", err)
 }
 
-// checkResponse returns resp, or a refusal if resp is not a valid response to c.
-func (g *Gate) checkResponse(c *call, resp *http.Response) (*http.Response, *fault.Error) {
+// checkOwner translates resp, which was received in x, and returns a refusal unless it
+// is known to belong to c.
+func (g *Gate) checkOwner(c *call, resp *http.Response, x hop.Exchange) *fault.Error {
 	if f := g.conf.Dialect.Response; f != nil {
 		f(resp)
 	}
 	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
 	notRun := fault.RunState(resp.Header.Get(fault.RunHeader)) == fault.NotRun
 	g.metrics.recordAnswer(c, notRun)
-	e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, c.exchange, notRun, g.conf.Dialect.EchoesID)
-	if e == nil && notRun && g.rejections.markSeen(rejection{c.exchange.Conn, c.id}) {
+	e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, x, notRun, g.conf.Dialect.EchoesID)
+	if e == nil && notRun && g.rejections.markSeen(rejection{x.Conn, c.id}) {
 		e = fault.New(fault.OutcomeUnknown, "the rejection may be a copy of that of an earlier attempt")
 	}
-	if e != nil {
-		resp.Body.Close()
-		// The answer to c may still be to come.
-		c.exchange.Abort()
-		return nil, e
-	}
+	return e
+}
+
+// checkResponse returns resp, which belongs to c, or a refusal if it cannot be forwarded.
+func (g *Gate) checkResponse(c *call, resp *http.Response) (*http.Response, *fault.Error) {
 	if resp.StatusCode < http.StatusOK {
 		resp.Body.Close()
 		return nil, fault.Newf(fault.OutcomeUnknown, "the backend server answered with status %d", resp.StatusCode)
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -47,14 +48,23 @@
 		defer c.pending.remove(a)
 	}
 	out := c.outgoing(q, a, r)
-	resp, x, err := c.cfg.Pools.TransportFor(q.route.Policy.Bulk).RoundTrip(ctx, out)
+	var mismatch error
+	resp, x, err := c.cfg.Pools.TransportFor(q.route.Policy.Bulk).RoundTripChecked(ctx, out, func(resp *http.Response, _ hop.Exchange) error {
+		if got := resp.Header.Get(mesh.RequestHeader); got != string(q.id) {
+			mismatch = fmt.Errorf("response names request %q", got)
+		}
+		return mismatch
+	})
 	a.exchange = x
 	a.latency = time.Since(a.started)
 	a.replayable = r == nil || r.seal()
 	var outcome route.Outcome
-	if err != nil {
+	switch {
+	case mismatch != nil:
+		outcome = c.handleIDMismatch(q, a, mismatch)
+	case err != nil:
 		outcome = c.classifyError(ctx, q, a, x.Sent, err)
-	} else {
+	default:
 		outcome = c.classifyResponse(q, a, resp)
 	}
 	if a.fault != nil {
@@ -187,13 +197,8 @@
 }
 
 // classifyResponse stores the response of a, or sets its fault if the response
-// is a refusal or answers another request.
+// is a refusal.
 func (c *Caller) classifyResponse(q *call, a *attempt, resp *http.Response) route.Outcome {
-	if got := resp.Header.Get(mesh.RequestHeader); got != string(q.id) {
-		resp.Body.Close()
-		c.handleIDMismatch(q, a, got)
-		return route.Failed
-	}
 	if p := resp.Header.Get(mesh.PressureHeader); p != "" {
 		c.picker.ReportPressure(a.endpoint, p, a.started.Add(a.latency))
 	}
@@ -236,13 +241,13 @@
 }
 
 // handleIDMismatch handles a response with another request id.
-func (c *Caller) handleIDMismatch(q *call, a *attempt, got string) {
+func (c *Caller) handleIDMismatch(q *call, a *attempt, err error) route.Outcome {
 	c.cfg.Metrics.InvariantBroken("request_id")
 	c.cfg.Log.Error("response carries another request id",
-		zap.String("request", string(q.id)), zap.String("got", got),
+		zap.String("request", string(q.id)), zap.Error(err),
 		zap.String("endpoint", string(a.endpoint.ID)), zap.Object("connection", a.exchange))
-	a.exchange.Abort() // the answer to q may still be to come
 	a.fault = fault.New(fault.OutcomeUnknown, "endpoint answered another request")
+	return route.Failed
 }
 
 // refusalOf returns the refusal that resp carries, or nil. A 503 without a kind
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -31,6 +31,10 @@
 	writeMu sync.Mutex // held during a write
 	broken  bool       // a write got the error of the connection; guarded by writeMu
 
+	// judged is held from the assignment of a request until the owner of its response is
+	// known. net/http assigns the next request as soon as a response without a body arrives.
+	judged sync.Mutex
+
 	requests atomic.Int64                 // requests that were assigned to the connection
 	waiting  atomic.Bool                  // c is new or assigned to a request, of which no byte is written
 	early    atomic.Pointer[atomic.Int64] // bytes received while waiting, for the current request
--- a/internal/hop/early_test.go
+++ b/internal/hop/early_test.go
@@ -47,6 +47,7 @@
 	var first, second connTracker
 	first.gotConn(httptrace.GotConnInfo{Conn: c})
 	read()
+	first.release()
 	second.gotConn(httptrace.GotConnInfo{Conn: c})
 	require.EqualValues(t, 5, first.exchange().Early)
 	require.Zero(t, second.exchange().Early)
@@ -58,8 +59,9 @@
 	c, _ := earlyConn(t)
 	var first, second connTracker
 	first.gotConn(httptrace.GotConnInfo{Conn: c})
+	first.release()
 	second.gotConn(httptrace.GotConnInfo{Conn: c})
-	first.exchange().Abort()
+	first.abort()
 	_, err := c.Write([]byte("POST"))
 	require.Error(t, err)
 	require.Equal(t, NothingSent, second.abort())
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -21,16 +21,8 @@
 	// assigned to the request and before any of the request was written. They
 	// belong to no answer to it.
 	Early int64
-
-	conn *conn
-}
-
-// Abort closes the connection, so that no later request gets an answer that is still
-// to come on it.
-func (x Exchange) Abort() {
-	if x.conn != nil {
-		x.conn.abort()
-	}
+	// Aborted means that the connection was aborted because of an earlier request.
+	Aborted bool
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -38,6 +30,7 @@
 	enc.AddUint64("id", uint64(x.Conn))
 	enc.AddInt64("requests", x.Requests)
 	enc.AddInt64("early", x.Early)
+	enc.AddBool("aborted", x.Aborted)
 	enc.AddString("sent", x.Sent.String())
 	return nil
 }
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -129,15 +129,24 @@
 	}
 }
 
-// RoundTrip sends req once and returns the response header; the caller must
+// RoundTrip is RoundTripChecked without a check.
+func (t *Transport) RoundTrip(ctx context.Context, req *http.Request) (*http.Response, Exchange, error) {
+	return t.RoundTripChecked(ctx, req, func(*http.Response, Exchange) error { return nil })
+}
+
+// RoundTripChecked sends req once and returns the response header; the caller must
 // close the body. On an error the connection is aborted, and the status is
 // NothingSent only if no byte of req was or will be written. Without an error
 // the status is MayHaveRun.
 //
 // The body of req is wrapped, so that net/http cannot replay it; req must not
 // be used again. A body of at most 4 KiB is read before anything is sent.
-func (t *Transport) RoundTrip(ctx context.Context, req *http.Request) (*http.Response, Exchange, error) {
+//
+// The check returns an error if the response does not belong to req, which
+// RoundTripChecked returns. No other request is written to the connection before.
+func (t *Transport) RoundTripChecked(ctx context.Context, req *http.Request, check func(*http.Response, Exchange) error) (*http.Response, Exchange, error) {
 	var tracker connTracker
+	defer tracker.release()
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	if err := makeSingleUse(req); err != nil {
@@ -149,13 +158,19 @@
 		x.Sent = tracker.abort()
 		return nil, x, err
 	}
+	x.Sent = MayHaveRun
 	// Only a connection that has carried a request can repeat its response.
 	if x.Requests > 1 && isSpliced(resp) {
+		err = errSplicedHead
+	} else {
+		err = check(resp, x)
+	}
+	if err != nil {
+		// The response to req may still be to come.
+		tracker.abort()
 		resp.Body.Close()
-		x.Sent = tracker.abort()
-		return nil, x, errSplicedHead
+		return nil, x, err
 	}
-	x.Sent = MayHaveRun
 	return resp, x, nil
 }
 
@@ -180,10 +195,20 @@
 		t.multiple = true
 		return
 	}
+	c.judged.Lock()
 	t.conn, t.startBytes = c, c.written.Load()
 	t.requests, t.early = c.begin()
 }
 
+// release lets the connection carry the next request.
+func (t *connTracker) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.judged.Unlock()
+	}
+}
+
 // exchange returns what is known of the connection.
 func (t *connTracker) exchange() Exchange {
 	t.mu.Lock()
@@ -191,7 +216,7 @@
 	if t.conn == nil {
 		return Exchange{}
 	}
-	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.early.Load(), conn: t.conn}
+	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.early.Load(), Aborted: t.conn.aborted.Load()}
 }
 
 // abort aborts the connection of a failed request and reports whether the request
@@ -201,6 +226,9 @@
 	defer t.mu.Unlock()
 	switch {
 	case t.multiple:
+		if t.conn != nil {
+			t.conn.abort()
+		}
 		return MayHaveRun
 	case t.conn == nil, t.conn.abort() == t.startBytes:
 		return NothingSent
--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -151,8 +151,8 @@
 	}
 	first, second := roundTrip(), roundTrip()
 	require.NotZero(t, first.Conn)
-	require.Equal(t, Exchange{Conn: first.Conn, Requests: 1, conn: first.conn}, first)
-	require.Equal(t, Exchange{Conn: first.Conn, Requests: 2, conn: first.conn}, second)
+	require.Equal(t, Exchange{Conn: first.Conn, Requests: 1}, first)
+	require.Equal(t, Exchange{Conn: first.Conn, Requests: 2}, second)
 
 	peer, sender := net.Pipe()
 	defer sender.Close()
