Refuse HTTP/1.0 responses with Transfer-Encoding

Callers got an HTTP/1.0 response in chunks as a success with the chunk sizes in its body, and a truncated one as complete. net/http drops the field of an HTTP/1.0 response and reads to the end of the connection, so that nothing of it is left to check.

Connections of hop look at the header of a response that begins as HTTP/1.0, also after interim ones, and the round trip fails if it has the field: RFC 9112 section 6.1 calls its framing faulty. Headers of HTTP/1.1 are not held.

TestHeadScanner reads nine responses in pieces of each size.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -38,6 +38,10 @@
 	requests atomic.Int64                 // requests that were assigned to the connection
 	waiting  atomic.Bool                  // c is new or assigned to a request, of which no byte is written
 	early    atomic.Pointer[atomic.Int64] // bytes received while waiting, for the current request
+
+	headDue atomic.Bool // a request was begun, and none of its response was read
+	head    headScanner // used by Read only
+	faulty  atomic.Bool // head has found a response whose framing is faulty
 }
 
 // newConn returns nc with the number id. Bytes that arrive before its first request
@@ -67,6 +71,15 @@
 	if n > 0 && c.waiting.Load() {
 		c.early.Load().Add(int64(n))
 	}
+	if n > 0 {
+		if c.headDue.Load() {
+			c.headDue.Store(false)
+			c.head.begin()
+		}
+		if c.head.isFaulty(p[:n]) {
+			c.faulty.Store(true)
+		}
+	}
 	if errors.Is(err, io.EOF) && c.isBroken() {
 		err = errReset
 	}
@@ -88,7 +101,9 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	c.waiting.Store(false)
+	if c.waiting.Swap(false) {
+		c.headDue.Store(true)
+	}
 	c.written.Add(int64(len(p)))
 	if c.aborted.Load() {
 		c.written.Add(-int64(len(p)))
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -159,10 +159,12 @@
 		return nil, x, err
 	}
 	x.Sent = MayHaveRun
-	// Only a connection that has carried a request can repeat its response.
-	if x.Requests > 1 && isSpliced(resp) {
+	switch {
+	case tracker.hasFaultyFraming():
+		err = errFaultyFraming
+	case x.Requests > 1 && isSpliced(resp): // a new connection cannot repeat a response
 		err = errSplicedHead
-	} else {
+	default:
 		err = check(resp, x)
 	}
 	if err != nil {
@@ -219,6 +221,12 @@
 	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.early.Load(), Aborted: t.conn.aborted.Load()}
 }
 
+func (t *connTracker) hasFaultyFraming() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.faulty.Load()
+}
+
 // abort aborts the connection of a failed request and reports whether the request
 // can have reached the peer.
 func (t *connTracker) abort() SendStatus {
