--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -17,6 +17,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/standin/raw"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -24,29 +25,14 @@
 // and returns its address.
 func newFaultyServer(t testing.TB, serve func(c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := raw.New(serve)
 	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return s.Addr()
 }
 
-func readRequest(r *bufio.Reader) {
-	if req, err := http.ReadRequest(r); err == nil {
-		_, _ = io.Copy(io.Discard, req.Body)
-	}
-}
+// readRequest reads a request. Its end is seen when the response is written.
+func readRequest(r *bufio.Reader) { _, _ = raw.ReadRequest(r) }
 
 // newRawServer starts a backend server that reads one request from each
 // connection, writes response and closes it.
--- a/internal/caller/cut_test.go
+++ b/internal/caller/cut_test.go
@@ -20,29 +20,18 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/standin/raw"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
 // newRawGate returns the member of a gate whose connections are handled by serve.
 func newRawGate(t testing.TB, id string, serve func(c net.Conn, r *bufio.Reader)) member.Member {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := raw.New(serve)
 	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
 	return member.Member{
-		ID: mesh.NodeID(id), Zone: "a", Addr: mesh.Addr(l.Addr().String()),
+		ID: mesh.NodeID(id), Zone: "a", Addr: mesh.Addr(s.Addr()),
 		Service: "s", Slots: 20, Endpoint: member.Ready, Incarnation: 1,
 	}
 }
--- a/internal/caller/stray_test.go
+++ b/internal/caller/stray_test.go
@@ -14,6 +14,7 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/standin/raw"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -27,38 +28,22 @@
 // newStrayGate starts a gate that runs each request and writes the answer that f returns for
 // its id and the number of requests before it on the connection.
 func newStrayGate(t *testing.T, id string, f func(id string, before int) string) *strayGate {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	g := &strayGate{runs: make(map[string]int), Member: member.Member{
-		ID: mesh.NodeID(id), Zone: "a", Addr: mesh.Addr(l.Addr().String()), Service: "s", Slots: 20, Endpoint: member.Ready, Incarnation: 1,
-	}}
-	go func() {
-		for {
-			c, err := l.Accept()
+	g := &strayGate{runs: make(map[string]int)}
+	g.Member = newRawGate(t, id, func(c net.Conn, r *bufio.Reader) {
+		for before := 0; ; before++ {
+			req, err := raw.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for before := 0; ; before++ {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					id := req.Header.Get(mesh.RequestHeader)
-					g.mu.Lock()
-					g.runs[id]++
-					g.mu.Unlock()
-					if _, err := io.WriteString(c, f(id, before)); err != nil {
-						return
-					}
-				}
-			}()
+			id := req.Header.Get(mesh.RequestHeader)
+			g.mu.Lock()
+			g.runs[id]++
+			g.mu.Unlock()
+			if _, err := io.WriteString(c, f(id, before)); err != nil {
+				return
+			}
 		}
-	}()
+	})
 	return g
 }
 
--- a/internal/hop/judge_test.go
+++ b/internal/hop/judge_test.go
@@ -13,28 +13,23 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/raw"
 )
 
 // TestRequestAfterForeignResponse guards against a request that is written to a connection
 // whose last response turns out to belong to another request.
 func TestRequestAfterForeignResponse(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
 	var received atomic.Int64
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		for r := bufio.NewReader(c); ; received.Add(1) {
-			if _, err := http.ReadRequest(r); err != nil {
+	s, err := raw.New(func(c net.Conn, r *bufio.Reader) {
+		for ; ; received.Add(1) {
+			if _, err := raw.ReadRequest(r); err != nil {
 				return
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		}
-	}()
+	})
+	require.NoError(t, err)
 	tr := New(Config{MaxConnsPerHost: 1})
 	defer tr.CloseIdle()
 	errForeign := errors.New("foreign")
@@ -44,7 +39,7 @@
 	}
 	next := make(chan result, 1)
 	send := func(ctx context.Context, check func(*http.Response, Exchange) error) result {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr().String()+"/", strings.NewReader("x"))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Addr()+"/", strings.NewReader("x"))
 		require.NoError(t, err)
 		resp, x, err := tr.RoundTripChecked(ctx, req, check)
 		if err == nil {
@@ -61,7 +56,7 @@
 	})
 	require.ErrorIs(t, first.err, errForeign)
 	require.Equal(t, MayHaveRun, first.x.Sent)
-	l.Close() // a new connection is refused
+	require.NoError(t, s.Close()) // a new connection is refused
 	second := <-next
 	require.Error(t, second.err)
 	require.Equal(t, NothingSent, second.x.Sent)
--- a/internal/hop/reset_test.go
+++ b/internal/hop/reset_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/raw"
 )
 
 // endlessBody is a request body without an end.
@@ -31,29 +33,19 @@
 		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer l.Close()
-			go func() {
-				for {
-					nc, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer nc.Close()
-						if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
-							return
-						}
-						_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nbody")
-						c.end(nc.(*net.TCPConn))
-					}()
+			s, err := raw.New(func(nc net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
 				}
-			}()
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nbody")
+				c.end(nc.(*net.TCPConn))
+			})
+			require.NoError(t, err)
+			defer func() { require.NoError(t, s.Close()) }()
 			tr := New(Config{})
 			whole := 0
 			for range requests {
-				req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String(), endlessBody{})
+				req, err := http.NewRequest(http.MethodPost, "http://"+s.Addr(), endlessBody{})
 				require.NoError(t, err)
 				if _, err = exchange(t.Context(), tr, req); err == nil {
 					whole++
--- a/internal/hop/response_test.go
+++ b/internal/hop/response_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/standin/raw"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -52,18 +53,12 @@
 func newRawServer(t testing.TB, answer string) (addr string, requests *atomic.Int64) {
 	t.Helper()
 	requests = new(atomic.Int64)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
-		r := bufio.NewReader(c)
+	s, err := raw.New(func(c net.Conn, r *bufio.Reader) {
 		for i := range 2 {
-			req, err := http.ReadRequest(r)
+			req, err := raw.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			_, _ = io.Copy(io.Discard, req.Body)
 			requests.Add(1)
 			if i == 0 {
 				_, _ = io.WriteString(c, answer)
@@ -72,17 +67,10 @@
 				return
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String(), requests
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return s.Addr(), requests
 }
 
 func get(t testing.TB, url string) (status int, body []byte, err error) {
