Write the dialect and the request of hosted tests once

Four tests of the gate spelled out the functions of the platform's dialect, and two of internal/trial the headers of a request.

--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -23,7 +23,6 @@
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
-	"lavenderrill.dev/lavenderrill/platform"
 )
 
 // framing is a response of a backend server and the positions at which it may end.
@@ -225,7 +224,7 @@
 	s.received = make([]atomic.Int64, len(s.cuts))
 	core, logs := observer.New(zap.InfoLevel)
 	g := newTestGate(t, newFaultyServer(t, s.serve), func(c *Config) {
-		c.Dialect = Dialect{Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: platform.ResponseRefusal, EchoesID: true}
+		c.Dialect = platformHeaders
 		c.Pacer = hop.NewPacer(1 << 30)
 		c.Log = zap.New(core)
 	})
--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -18,6 +18,7 @@
 	"lavenderrill.dev/lavenderrill/internal/metric"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
+	"lavenderrill.dev/lavenderrill/platform"
 )
 
 var testSnapshot = &config.Snapshot{
@@ -32,6 +33,13 @@
 	},
 }
 
+// platformHeaders is the dialect of a hosted node.
+var platformHeaders = Dialect{
+	Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: platform.ResponseRefusal, EchoesID: true,
+}
+
+func platformDialect(c *Config) { c.Dialect = platformHeaders }
+
 // testGate is a gate served on a loopback address.
 type testGate struct {
 	*Gate
--- a/internal/backend/owner_test.go
+++ b/internal/backend/owner_test.go
@@ -14,15 +14,8 @@
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
-	"lavenderrill.dev/lavenderrill/platform"
 )
 
-func platformDialect(c *Config) {
-	c.Dialect = Dialect{
-		Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: platform.ResponseRefusal, EchoesID: true,
-	}
-}
-
 // TestOwner guards against an answer that is believed although it may belong to another
 // request, and against one of the request itself that is not.
 func TestOwner(t *testing.T) {
--- a/internal/backend/rejection_test.go
+++ b/internal/backend/rejection_test.go
@@ -15,18 +15,12 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
-	"lavenderrill.dev/lavenderrill/platform"
 )
 
 // TestLateCopyOfRejection guards against a late copy of a rejection that counts as the
 // answer to the next request on the connection, which runs.
 func TestLateCopyOfRejection(t *testing.T) {
-	dialects := map[string]Dialect{
-		"mesh": {},
-		"platform": {
-			Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: platform.ResponseRefusal, EchoesID: true,
-		},
-	}
+	dialects := map[string]Dialect{"mesh": {}, "platform": platformHeaders}
 	for name, c := range map[string]struct {
 		status int
 		body   string
--- a/internal/backend/splice_test.go
+++ b/internal/backend/splice_test.go
@@ -15,7 +15,6 @@
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
-	"lavenderrill.dev/lavenderrill/platform"
 )
 
 // TestCutCopies guards against the head of an answer that begins with a part of an earlier
@@ -70,9 +69,7 @@
 					}
 				}
 			})
-			g := newTestGate(t, addr, func(conf *Config) {
-				conf.Dialect = Dialect{Request: platform.TranslateRequest, Response: platform.TranslateResponse, Refusal: platform.ResponseRefusal, EchoesID: true}
-			})
+			g := newTestGate(t, addr, platformDialect)
 			var status int
 			_, err := fmt.Sscanf(c.own, "HTTP/1.1 %d", &status)
 			require.NoError(t, err)
--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -203,11 +203,16 @@
 // sendWith sends a request to the caller listener of n. If path ends with a slash,
 // the request id is appended.
 func (n *hostedNode) sendWith(c *http.Client, method, path string) response {
+	return n.sendBody(c, method, path, strings.NewReader(""))
+}
+
+// sendBody is sendWith for a request with a body.
+func (n *hostedNode) sendBody(c *http.Client, method, path string, body io.Reader) response {
 	r := response{id: fmt.Sprintf("%016x", requestNumber.Add(1))}
 	if strings.HasSuffix(path, "/") {
 		path += r.id
 	}
-	req, err := http.NewRequest(method, "http://"+n.portAddr(0)+path, strings.NewReader(""))
+	req, err := http.NewRequest(method, "http://"+n.portAddr(0)+path, body)
 	if err != nil {
 		return r
 	}
--- a/internal/trial/rejection_test.go
+++ b/internal/trial/rejection_test.go
@@ -113,29 +113,11 @@
 
 // sendBooking sends one unsafe request, with a body in chunks or with a length.
 func (n *hostedNode) sendBooking(c *http.Client, chunked bool) response {
-	r := response{id: fmt.Sprintf("%016x", requestNumber.Add(1))}
 	var body io.Reader = strings.NewReader(bookingBody)
 	if chunked {
 		body = struct{ io.Reader }{body} // hides the length
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.portAddr(0)+"/book/"+r.id, body)
-	if err != nil {
-		return r
-	}
-	req.Host = "shop.example"
-	req.Header.Set("Lavenderrill-Request-Id", r.id)
-	req.Header.Set("Lavenderrill-Deadline-Ms", strconv.FormatInt((c.Timeout-time.Second).Milliseconds(), 10))
-	resp, err := c.Do(req)
-	if err != nil {
-		return r
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return r
-	}
-	r.status, r.body, r.kind = resp.StatusCode, string(b), fault.Kind(resp.Header.Get(fault.KindHeader))
-	return r
+	return n.sendBody(c, http.MethodPost, "/book/", body)
 }
 
 // rejectionOutcome compares the responses of clients with the runs at backend servers.
