--- a/internal/backend/owner_test.go
+++ b/internal/backend/owner_test.go
@@ -43,7 +43,7 @@
 		"rejection without an id, echoes":   {x: first, notRun: true, echoes: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := checkOwner(c.named, "r", c.x, c.notRun, c.echoes)
+			e := foreignRefusal(c.named, "r", c.x, c.notRun, c.echoes)
 			if c.own {
 				require.Nil(t, e)
 				return
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -498,7 +498,7 @@
 	c.status, c.answeredID = resp.StatusCode, resp.Header.Get(mesh.RequestHeader)
 	notRun := fault.RunState(resp.Header.Get(fault.RunHeader)) == fault.NotRun
 	g.metrics.recordAnswer(c, notRun)
-	e := checkOwner(resp.Header.Values(mesh.RequestHeader), c.id, x, notRun, g.conf.Dialect.EchoesID)
+	e := foreignRefusal(resp.Header.Values(mesh.RequestHeader), c.id, x, notRun, g.conf.Dialect.EchoesID)
 	if e == nil && notRun && g.rejections.markSeen(rejection{x.Conn, c.id}) {
 		e = fault.New(fault.OutcomeUnknown, "the rejection may be a copy of that of an earlier attempt")
 	}
