Remember the leave of an instance that the process does not know

Cause: instanceTracker.recordLeave dropped the leave of any instance but the known one, and a new process knows none, while the message was acknowledged all the same. The late heartbeat was then the first report of a new start.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -78,18 +78,20 @@
 	})
 }
 
-// handleLeave withdraws the backend server if the instance that left is the current one.
+// handleLeave records that an instance has left, and withdraws the backend server if it is
+// the current one.
 func (n *Node) handleLeave(id mesh.Instance, born int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.leftDuringCheck != nil {
 		n.leftDuringCheck[id] = struct{}{}
 	}
-	if n.instance.recordLeave(id, born) {
-		n.pendingAnnounce = nil
+	known := n.instance.recordLeave(id, born, time.Now())
+	if known {
+		n.pendingAnnounce, n.unconfirmed = nil, nil
 		n.gate.Withdraw()
-		n.log.Info("backend server left", zap.String("instance", string(id)))
 	}
+	n.log.Info("backend server left", zap.String("instance", string(id)), zap.Int64("born", born), zap.Bool("known", known))
 }
 
 const (
