Acknowledge a departure only once the store has it

Cause: the leave lay in the memory of the node, and 20 ms later in the views of the others. The next process knew of no departure, took that for none, and believed the first heartbeat.

The starts that have departed now lie in the row of the node, which a process reads at its start in any case; draining counts as a departure, too.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -35,23 +35,80 @@
 	if status == heartbeatStale {
 		n.log.Info("ignored late heartbeat", zap.String("instance", string(b.Instance)),
 			zap.Int64("sequence", b.Sequence), zap.Int64("born", b.Born), zap.Int64("known", previous.sequence))
-		if previous.replaced == (backendStart{b.Instance, b.Born}) {
+		if previous.replaced == (platform.BackendStart{Instance: b.Instance, Born: b.Born}) {
 			n.requestRecheck() // shows whether the replaced instance is there again
 		}
 		return nil
 	}
-	if status == heartbeatNewStart && previous.id != "" {
+	announce := func() error { return n.announce(b.Instance, b.Slots, b.Draining, b.WarmupLeft) }
+	switch {
+	case status == heartbeatNewStart && previous.id != "" && n.unconfirmed == nil:
 		n.gate.Withdraw()
+	case status == heartbeatNewStart:
+		n.unconfirmed = &unconfirmedStart{reports: reports{healthy: n.healthy == b.Instance}}
 	}
-	if status == heartbeatNewStart && previous.id == "" && !n.trustsFirstReport() {
-		// The heartbeat may be a late one of a backend server that has left. The next one
-		// shows that it lives.
-		n.log.Info("waiting for a second report of the backend server", zap.String("instance", string(b.Instance)))
-		n.unconfirmed = func() error { return n.announce(b.Instance, b.Slots, b.Draining, b.WarmupLeft) }
+	if n.unconfirmed == nil {
+		return announce()
+	}
+	n.unconfirmed.heartbeats++
+	n.unconfirmed.announce = announce
+	return n.confirm()
+}
+
+// acknowledgeHeartbeat processes a heartbeat. It returns nil only if what that
+// acknowledges outlasts this process.
+func (n *Node) acknowledgeHeartbeat(ctx context.Context, b platform.Heartbeat) error {
+	if err := n.handleHeartbeat(b); err != nil {
+		return err
+	}
+	if !b.Draining {
 		return nil
 	}
-	n.unconfirmed = nil
-	return n.announce(b.Instance, b.Slots, b.Draining, b.WarmupLeft)
+	return n.keepDeparture(ctx, b.Instance, b.Born)
+}
+
+// acknowledgeLeave processes a leave message. It returns nil only if what that
+// acknowledges outlasts this process.
+func (n *Node) acknowledgeLeave(ctx context.Context, id mesh.Instance, born int64) error {
+	n.handleLeave(id, born)
+	return n.keepDeparture(ctx, id, born)
+}
+
+// keepDeparture waits until the departure of a start, which must have been recorded, lies
+// in the store.
+func (n *Node) keepDeparture(ctx context.Context, id mesh.Instance, born int64) error {
+	n.mu.Lock()
+	d, ok := n.instance.departure(id, born)
+	n.mu.Unlock()
+	if !ok {
+		return nil // overtaken by so many later ones that the start is long gone
+	}
+	start := time.Now()
+	err := n.registration.keep(ctx, d)
+	if err != nil {
+		n.log.Warn("the departure of the backend server is not acknowledged", zap.String("instance", string(id)),
+			zap.Duration("waited", time.Since(start)), zap.Error(err))
+	}
+	return err
+}
+
+// adoptDepartures applies the departures that earlier processes have acknowledged.
+func (n *Node) adoptDepartures(starts []platform.BackendStart) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(starts) > 0 {
+		n.log.Info("backend servers departed before this process started", zap.Any("starts", starts))
+	}
+	if n.instance.adoptDepartures(starts) {
+		n.pendingAnnounce, n.unconfirmed = nil, nil
+		n.gate.Withdraw()
+	}
+	if err := n.confirm(); err != nil {
+		n.log.Error("failed to announce the backend server", zap.Error(err))
+	}
+	if n.instance.id == "" && n.healthy != "" {
+		n.requestRecheck() // its answer suffices now
+	}
 }
 
 // announce passes the state of the backend server to the gate. Without a configuration
@@ -106,27 +163,47 @@
 	predecessorTimeout = 2 * time.Second
 )
 
-// trustsFirstReport reports whether the first heartbeat or health check after the start
-// may be believed. A backend server that was leaving when the predecessor of this
-// process ended gets no work because of a late heartbeat or a wrong health check.
-// Before the first attempt to join, the state that the predecessor left is not known.
-func (n *Node) trustsFirstReport() bool {
-	if n.nodeSettings.Load().FirstStart {
-		return true
+// requiredProof returns what is needed before the backend server is announced that was
+// running before this process. n.mu must be held.
+func (n *Node) requiredProof() proof {
+	k := startKnowledge{firstStart: n.nodeSettings.Load().FirstStart, waited: time.Since(n.started) >= predecessorTimeout}
+	if k.firstStart {
+		return k.requiredProof()
+	}
+	k.rowRead = n.registration.isRead()
+	k.rowAttempted, k.joinAttempted = isClosed(n.registration.attempted), isClosed(n.peer.JoinAttempted())
+	if m, ok := n.peer.Predecessor(); ok {
+		k.predecessorLeaving = m.Endpoint == member.Draining || m.Endpoint == member.NoEndpoint
 	}
+	return k.requiredProof()
+}
+
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-n.peer.JoinAttempted():
+	case <-c:
+		return true
 	default:
-		if time.Since(n.started) < predecessorTimeout {
-			return false
-		}
+		return false
 	}
-	m, ok := n.peer.Predecessor()
-	return !ok || m.Endpoint != member.Draining && m.Endpoint != member.NoEndpoint
 }
 
-// findBackend checks the health of a backend server that was running before this node,
-// so that it gets work before its next heartbeat, and checks again whenever its address
+// confirm announces the unconfirmed start if its reports suffice. n.mu must be held.
+func (n *Node) confirm() error {
+	u := n.unconfirmed
+	if u == nil {
+		return nil
+	}
+	if p := n.requiredProof(); !u.suffice(p) {
+		n.log.Info("waiting for more reports of the backend server", zap.String("instance", string(n.instance.id)),
+			zap.Stringer("required", p), zap.Int("heartbeats", u.heartbeats), zap.Bool("healthy", u.healthy))
+		return nil
+	}
+	n.unconfirmed, n.healthy = nil, ""
+	return u.announce()
+}
+
+// findBackend looks for a backend server that was running before this node, so that it
+// gets work before its next heartbeat, and checks its health again whenever its address
 // seems to have another instance.
 func (n *Node) findBackend(ctx context.Context) error {
 	if wait.For(ctx, healthCheckDelay) != nil {
@@ -135,14 +212,24 @@
 	if !n.nodeSettings.Load().FirstStart {
 		timeout := time.NewTimer(predecessorTimeout)
 		defer timeout.Stop()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timeout.C:
-		case <-n.peer.JoinAttempted():
+		for _, c := range []<-chan struct{}{n.peer.JoinAttempted(), n.registration.attempted} {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-timeout.C:
+				timeout.Reset(0) // for the other channel
+			case <-c:
+			}
 		}
 	}
-	if n.gate.Status().State == member.NoEndpoint && n.trustsFirstReport() {
+	n.mu.Lock()
+	err := n.confirm()
+	p := n.requiredProof()
+	n.mu.Unlock()
+	if err != nil {
+		n.log.Error("failed to announce the backend server", zap.Error(err))
+	}
+	if n.gate.Status().State == member.NoEndpoint && (p == proofReport || p == proofHealthy) {
 		n.checkHealth(ctx)
 	}
 	for {
@@ -186,19 +273,25 @@
 			zap.String("instance", string(id)), zap.String("known", string(before)), zap.Bool("left", left))
 		return
 	}
-	if f := n.unconfirmed; f != nil && id == before {
-		n.unconfirmed = nil
-		if err := f(); err != nil {
+	if u := n.unconfirmed; u != nil && id == before {
+		u.healthy = true
+		if err := n.confirm(); err != nil {
 			n.log.Error("failed to announce the backend server", zap.Error(err))
 		}
 		return
 	}
+	if p := n.requiredProof(); before == "" && p != proofReport {
+		n.healthy = id
+		n.log.Info("health check answered; waiting for a heartbeat", zap.String("instance", string(id)), zap.Stringer("required", p))
+		return
+	}
 	if !n.instance.recordHealthCheck(id) {
 		return
 	}
 	if before != "" {
 		n.gate.Withdraw()
 	}
+	n.healthy = ""
 	n.log.Info("backend server found by its health check", zap.String("instance", string(id)), zap.String("before", string(before)))
 	if err := n.announce(id, defaultSlots, false, 0); err != nil {
 		n.log.Error("failed to announce the backend server", zap.Error(err))
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -18,23 +18,17 @@
 	left     bool  // the instance has reported that it has left
 	draining bool  // the last heartbeat reported that it is going to stop
 
-	replaced backendStart // last start in whose place a health check found another instance
+	replaced platform.BackendStart // last start in whose place a health check found another instance
 
 	// departed holds the last starts that have reported that they leave, oldest first,
 	// whether or not they were known before.
-	departed []backendStart
+	departed []platform.BackendStart
 }
 
 // maxDeparted limits the starts of one address that are remembered as departed. A
 // heartbeat arrives seconds late at most, and a backend server takes seconds to start.
 const maxDeparted = 4
 
-// backendStart identifies one start of a backend server.
-type backendStart struct {
-	id   mesh.Instance
-	born int64
-}
-
 // heartbeatStatus tells how a heartbeat relates to the known start of the backend
 // server.
 type heartbeatStatus uint8
@@ -45,13 +39,23 @@
 	heartbeatNewStart                        // of a new start
 )
 
-// recordHeartbeat records b unless it is stale, and returns its status.
+// recordHeartbeat records b unless it is stale, and returns its status. A start that
+// reports that it drains departs, also by a stale heartbeat, and none of its later
+// heartbeats makes it available again.
 func (s *instanceTracker) recordHeartbeat(b platform.Heartbeat) heartbeatStatus {
+	status := s.orderHeartbeat(b)
+	if b.Draining {
+		s.recordDeparture(platform.BackendStart{Instance: b.Instance, Born: b.Born})
+	}
+	return status
+}
+
+func (s *instanceTracker) orderHeartbeat(b platform.Heartbeat) heartbeatStatus {
 	sameStart := b.Instance == s.id && (b.Born == s.born || s.born == 0)
 	switch {
 	case sameStart && s.left, sameStart && b.Sequence <= s.sequence, !sameStart && b.Born < s.born,
-		s.hasDeparted(b.Instance, b.Born) && !(sameStart && b.Draining),
-		!sameStart && s.replaced == backendStart{b.Instance, b.Born}:
+		s.hasDeparted(b.Instance, b.Born) && (!sameStart || !b.Draining),
+		!sameStart && s.replaced == platform.BackendStart{Instance: b.Instance, Born: b.Born}:
 		return heartbeatStale
 	case sameStart:
 		s.born, s.sequence, s.draining = b.Born, b.Sequence, b.Draining
@@ -63,8 +67,8 @@
 
 // recordDeparture records that the start b leaves, and that no earlier start under its id
 // runs any more.
-func (s *instanceTracker) recordDeparture(b backendStart) {
-	if s.hasDeparted(b.id, b.born) {
+func (s *instanceTracker) recordDeparture(b platform.BackendStart) {
+	if s.hasDeparted(b.Instance, b.Born) {
 		return
 	}
 	s.departed = append(slices.Clone(s.departed), b)
@@ -74,7 +78,30 @@
 // hasDeparted reports whether the start of id at the time born, or a later one under the
 // same id, has departed.
 func (s *instanceTracker) hasDeparted(id mesh.Instance, born int64) bool {
-	return slices.ContainsFunc(s.departed, func(d backendStart) bool { return d.id == id && born <= d.born })
+	_, ok := s.departure(id, born)
+	return ok
+}
+
+// departure returns the departure that covers the start of id at the time born.
+func (s *instanceTracker) departure(id mesh.Instance, born int64) (platform.BackendStart, bool) {
+	i := slices.IndexFunc(s.departed, func(d platform.BackendStart) bool { return d.Instance == id && born <= d.Born })
+	if i < 0 {
+		return platform.BackendStart{}, false
+	}
+	return s.departed[i], true
+}
+
+// adoptDepartures records starts that departed before this process started, and reports
+// whether the known start is one of them.
+func (s *instanceTracker) adoptDepartures(starts []platform.BackendStart) bool {
+	left := false
+	for _, d := range starts {
+		s.recordDeparture(d)
+		if d.Instance == s.id && s.born <= d.Born && !s.left {
+			s.left, s.born, left = true, d.Born, true
+		}
+	}
+	return left
 }
 
 // continues reports whether the instance is known and has not reported that it leaves.
@@ -84,19 +111,19 @@
 // has just started knows no instance. It reports whether the known one has left by it.
 // Born is 0 if the message did not contain it; the start is then before now.
 func (s *instanceTracker) recordLeave(id mesh.Instance, born int64, now time.Time) bool {
-	departed := backendStart{id, born}
+	departed := platform.BackendStart{Instance: id, Born: born}
 	switch {
 	case born != 0:
 	case id == s.id && s.born != 0:
-		departed.born = s.born
+		departed.Born = s.born
 	default:
-		departed.born = now.UnixMilli()
+		departed.Born = now.UnixMilli()
 	}
 	s.recordDeparture(departed)
 	if id != s.id || s.left || born != 0 && born < s.born {
 		return false
 	}
-	s.left, s.born = true, departed.born
+	s.left, s.born = true, departed.Born
 	return true
 }
 
@@ -104,12 +131,12 @@
 // whether it was unknown. The answer does not tell a departed start from a later one under
 // the same id, which shows itself by a heartbeat.
 func (s *instanceTracker) recordHealthCheck(id mesh.Instance) bool {
-	if id == s.id || slices.ContainsFunc(s.departed, func(d backendStart) bool { return d.id == id }) {
+	if id == s.id || slices.ContainsFunc(s.departed, func(d platform.BackendStart) bool { return d.Instance == id }) {
 		return false
 	}
 	replaced := s.replaced
 	if s.born != 0 {
-		replaced = backendStart{s.id, s.born}
+		replaced = platform.BackendStart{Instance: s.id, Born: s.born}
 	}
 	// The first heartbeat of this start reports its start time, which may be before that of
 	// the replaced one if the clock was set back.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -81,6 +81,7 @@
 	store        *platform.Store
 	skipped      skippedRows
 	rows         *nodeRows
+	registration *registration
 	source       *source
 	gate         *backend.Gate
 	caller       *caller.Caller
@@ -101,7 +102,8 @@
 	mu              sync.Mutex // guards the fields below
 	instance        instanceTracker
 	pendingAnnounce func() error               // announcement to make once there is a configuration, or nil
-	unconfirmed     func() error               // announcement of the first heartbeat until a second report, or nil
+	unconfirmed     *unconfirmedStart          // start that is not announced yet, or nil
+	healthy         mesh.Instance              // answered a health check, and is not announced yet for lack of a heartbeat
 	leftDuringCheck map[mesh.Instance]struct{} // instances that left since the health check in flight was sent; nil if there is none
 
 	listeners  map[string]net.Listener
@@ -134,7 +136,12 @@
 	n.store = platform.NewStore(platform.StoreConfig{
 		Addr: set.Store, Timeout: callTimeout, CountCall: n.metrics.CounterGroup("store_calls").Add, OnSkip: n.logSkippedRow,
 	})
-	n.rows = newNodeRows(n.store.NodeAddrs)
+	n.rows = newNodeRows(n.store.Nodes)
+	n.registration = newRegistration(registrationConfig{
+		self:       platform.NodeRow{Addr: mesh.Addr(set.Peer), ID: set.ID, Zone: set.Zone},
+		firstStart: set.FirstStart, find: n.rows.find, put: n.store.PutNode, remove: n.store.RemoveNode,
+		onRead: n.adoptDepartures, log: n.log,
+	})
 	n.watcherSelector.self, n.watcherSelector.zone = set.ID, set.Zone
 	n.configTransport = hop.New(hop.Config{MaxConnsPerHost: maxConfigConnections, DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout})
 	n.source = newSource(sourceConfig{
@@ -317,13 +324,13 @@
 			return task.IgnoreServerClosed(n.caller.Server().Serve(&n.callerListener))
 		}},
 		{Name: "configuration", Run: n.source.run},
-		{Name: "registration", Run: n.register},
+		{Name: "registration", Run: n.registration.run},
 		{Name: "backend search", Run: n.findBackend},
 		{Name: "settings", Run: n.watchSettings},
 		{Name: "pauses", Run: n.detectPauses},
 	}
 	for name, h := range map[string]http.Handler{
-		"announce": platform.HeartbeatHandler(n.handleHeartbeat, n.handleLeave),
+		"announce": platform.HeartbeatHandler(n.acknowledgeHeartbeat, n.acknowledgeLeave),
 		"ready":    platform.ReadinessHandler(n.Ready),
 		"metrics":  n.metrics.TextHandler(),
 	} {
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/wait"
-	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
 const (
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	n.mu.Lock()
-	continues := n.instance.continues()
+	continues, departed := n.instance.continues(), n.instance.left || n.instance.draining
 	n.mu.Unlock()
 	if continues {
 		// The gate is draining, but the backend server is not: the next process of this
@@ -77,8 +77,21 @@
 		n.peer.SetEndpoint(st.Service, st.Slots, member.Yielding)
 	}
 	done := make(chan error, 1)
-	go func() { done <- n.store.RemoveNode(ctx, mesh.Addr(n.nodeSettings.Load().Peer)) }()
+	go func() { done <- n.leaveStore(ctx, departed) }()
 	if err := errors.Join(n.peer.Leave(ctx), <-done); err != nil {
 		n.log.Info("failed to notify all nodes and the store that this node leaves; probes will detect it", zap.Error(err))
 	}
 }
+
+// leaveStore removes the row of this node, unless a backend server that has departed still
+// runs: the next process must not give it work again.
+func (n *Node) leaveStore(ctx context.Context, departed bool) error {
+	if departed {
+		d := net.Dialer{Timeout: leaveTimeout / 2}
+		if c, err := d.DialContext(ctx, "tcp", string(n.nodeSettings.Load().Backend)); err == nil {
+			n.log.Info("kept the row of this node for its next process, since the departed backend server still runs")
+			return c.Close()
+		}
+	}
+	return n.registration.leave(ctx)
+}
--- a/internal/trial/leave_test.go
+++ b/internal/trial/leave_test.go
@@ -1,22 +1,50 @@
 package trial
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/standin/inject"
 )
 
 // TestHostedLeave guards against an acknowledged leave message that the mesh forgets, so
 // that a late heartbeat makes the leaving backend server available again.
 func TestHostedLeave(t *testing.T) {
+	restart := func(ns ...*hostedNode) {
+		for _, n := range ns {
+			require.NoError(t, n.process.Kill())
+		}
+		for _, n := range ns {
+			n.start()
+		}
+	}
 	for name, c := range map[string]struct {
-		before func(n *hostedNode) // just before the leave message
+		drains bool                // the backend server reports that it drains, in place of a leave message
+		before func(n *hostedNode) // just before the message
 		after  func(n *hostedNode) // once it is acknowledged
 	}{
-		"beside a restart of the node": {before: func(n *hostedNode) {
-			require.NoError(t, n.process.Kill())
-			n.start()
+		"beside a restart of the node": {before: func(n *hostedNode) { restart(n) }},
+		"draining, beside a restart":   {drains: true, before: func(n *hostedNode) { restart(n) }},
+		"node killed right after":      {after: func(n *hostedNode) { restart(n) }},
+		"draining, node killed":        {drains: true, after: func(n *hostedNode) { restart(n) }},
+		"all nodes killed":             {after: func(n *hostedNode) { time.Sleep(500 * time.Millisecond); restart(n.h.nodes...) }},
+		"draining, all nodes killed":   {drains: true, after: func(n *hostedNode) { time.Sleep(500 * time.Millisecond); restart(n.h.nodes...) }},
+		"node killed, store away then": {after: func(n *hostedNode) {
+			require.NoError(t, n.h.store.SetFaults(inject.Faults{Outage: inject.OutageError}))
+			restart(n)
+			time.Sleep(500 * time.Millisecond)
+			t.Cleanup(func() { require.NoError(t, n.h.store.SetFaults(inject.Faults{})) })
+		}},
+		"all nodes stopped": {after: func(n *hostedNode) {
+			for _, n := range n.h.nodes {
+				ctx, cancel := context.WithTimeout(t.Context(), hostedGrace)
+				require.NoError(t, n.process.Stop(ctx))
+				cancel()
+				n.start()
+			}
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -30,7 +58,11 @@
 			if c.before != nil {
 				c.before(a)
 			}
-			require.Eventually(t, func() bool { return a.server.Deregister(t.Context(), a.portAddr(2)) == nil }, 5*time.Second, 2*time.Millisecond, "acknowledgement")
+			leave := a.server.Deregister
+			if c.drains {
+				leave = a.server.SendHeartbeat
+			}
+			require.Eventually(t, func() bool { return leave(t.Context(), a.portAddr(2)) == nil }, 5*time.Second, 2*time.Millisecond, "acknowledgement")
 			acknowledged := time.Now()
 			if c.after != nil {
 				c.after(a)
