--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,6 +21,9 @@
 	// maxConnsPerPeer limits the connections to one node.
 	maxConnsPerPeer   = 4
 	clientIdleTimeout = 30 * time.Second
+	// maxViewBytes limits the response to a request that is not about a configuration. The
+	// whole view of 2,500 members has about 200 KB.
+	maxViewBytes = 1 << 20
 )
 
 // newClient returns the HTTP client for requests to other nodes.
@@ -45,14 +48,26 @@
 			MaxConnsPerHost:     maxConnsPerPeer,
 			IdleConnTimeout:     clientIdleTimeout,
 			DisableCompression:  true, // the connect client compresses messages
+			// The default is 10 MB, for each connection.
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}}
 }
 
-// clientFor returns the RPC client for the node at address a.
+// clientFor returns the RPC client for the node at address a, which reads responses of
+// at most maxViewBytes.
 func (p *Peer) clientFor(a mesh.Addr) peerpbconnect.PeerServiceClient {
+	return p.newRPCClient(a, maxViewBytes)
+}
+
+// configClientFor returns the RPC client for configurations of the node at address a.
+func (p *Peer) configClientFor(a mesh.Addr) peerpbconnect.PeerServiceClient {
+	return p.newRPCClient(a, maxBodyBytes)
+}
+
+func (p *Peer) newRPCClient(a mesh.Addr, maxResponseBytes int) peerpbconnect.PeerServiceClient {
 	return peerpbconnect.NewPeerServiceClient(p.client, "http://"+string(a),
-		connect.WithReadMaxBytes(maxBodyBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
+		connect.WithReadMaxBytes(maxResponseBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
 }
 
 // call sends one request to another node with the given timeout and counts it.
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -103,7 +103,7 @@
 	if h.needManifest {
 		have = 0
 	}
-	a, err := call(ctx, p, "fetch", deltaTimeout, p.clientFor(h.from.Addr).Fetch, &peerpb.FetchRequest{Have: uint64(have)})
+	a, err := call(ctx, p, "fetch", deltaTimeout, p.configClientFor(h.from.Addr).Fetch, &peerpb.FetchRequest{Have: uint64(have)})
 	if err != nil {
 		return err
 	}
@@ -125,7 +125,7 @@
 		return nil
 	}
 	p.stats.fetches.Add("whole", 1)
-	a, err = call(ctx, p, "fetch", fetchTimeout, p.clientFor(h.from.Addr).Fetch, &peerpb.FetchRequest{})
+	a, err = call(ctx, p, "fetch", fetchTimeout, p.configClientFor(h.from.Addr).Fetch, &peerpb.FetchRequest{})
 	if err != nil {
 		return err
 	}
@@ -178,7 +178,7 @@
 		for i, d := range want[:n] {
 			q.Want[i] = d[:]
 		}
-		a, err := call(ctx, p, "fetch", fetchTimeout, p.clientFor(from).Fetch, q)
+		a, err := call(ctx, p, "fetch", fetchTimeout, p.configClientFor(from).Fetch, q)
 		if err != nil {
 			return out, want, err
 		}
--- a/internal/peer/stray_test.go
+++ b/internal/peer/stray_test.go
@@ -1,14 +1,19 @@
 package peer
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lavenderrill.dev/lavenderrill/internal/core/quota"
 	"lavenderrill.dev/lavenderrill/internal/peer/peerpb"
+	"lavenderrill.dev/lavenderrill/internal/standin/endless"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
@@ -41,3 +46,52 @@
 	require.Len(t, missing, 1)
 	require.Zero(t, p.Version())
 }
+
+// TestEndlessPeerResponse guards against a response without end, of whatever has the
+// address of another node, that a node keeps until its memory is used up or waits for.
+func TestEndlessPeerResponse(t *testing.T) {
+	const (
+		calls   = maxConnsPerPeer
+		timeout = 500 * time.Millisecond
+		slack   = time.Second
+		// maxHeap allows the largest response for each call, and the copies of a buffer that grows.
+		maxHeap = calls * 4 * maxViewBytes
+	)
+	p := startPeer(t, 1, nil)
+	for name, call := range map[string]func(context.Context, mesh.Addr){
+		"sync": func(ctx context.Context, a mesh.Addr) { require.Error(t, p.sync(ctx, a)) },
+		"survey": func(ctx context.Context, a mesh.Addr) {
+			counts := p.surveyGroup(ctx, 3, []*peerpb.SurveyMember{{Id: "a", Zone: "z", Addr: string(a)}})
+			require.Zero(t, counts["z"].Current)
+		},
+		"quota": func(ctx context.Context, a mesh.Addr) {
+			other := p.members()[0]
+			other.Addr = a
+			_, err := p.requestShares(ctx, other, []quota.Demand{{Key: quota.Key{Route: "r"}, Rate: 1}})
+			require.Error(t, err)
+		},
+	} {
+		for form, r := range endless.Responses {
+			t.Run(name+"/"+form, func(t *testing.T) {
+				r.Head = strings.Replace(r.Head, "application/json", "application/proto", 1)
+				srv, err := endless.NewServer("127.0.0.1:0", r)
+				require.NoError(t, err)
+				start := time.Now()
+				peak := endless.PeakHeap(func() {
+					var pending sync.WaitGroup
+					for range calls {
+						pending.Go(func() {
+							ctx, cancel := context.WithTimeout(t.Context(), timeout)
+							defer cancel()
+							call(ctx, mesh.Addr(srv.Addr()))
+						})
+					}
+					pending.Wait()
+				})
+				require.Less(t, time.Since(start), timeout+slack)
+				require.Less(t, peak, uint64(maxHeap))
+				require.NoError(t, srv.Close(), "closes once the node has closed its connections")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/endless/server.go
@@ -0,0 +1,124 @@
+package endless
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Response is a response that does not end: Head once, then Repeat until the client
+// closes the connection.
+type Response struct{ Head, Repeat string }
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+var block = strings.Repeat("a", 4<<10)
+
+// Responses has a response for each part of an HTTP/1.1 message that may lack an end.
+var Responses = map[string]Response{
+	"no protocol":         {"", block},
+	"no protocol, lines":  {"", strings.Repeat("\x01", 100) + "\r\n"},
+	"status line":         {"HTTP/1.1 200 ", block},
+	"header line":         {ok + "X: ", block},
+	"header lines":        {ok, "X: " + block + "\r\n"},
+	"empty header lines":  {ok, "X: \r\n"},
+	"continued lines":     {ok + "X: y\r\n", " z\r\n"},
+	"informational":       {"", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+	"100 continue":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"chunk size":          {ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+	"chunk extension":     {ok + "Transfer-Encoding: chunked\r\n\r\n1;", block},
+	"small chunks":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "1;" + block[:1000] + "\r\na\r\n"},
+	"chunked body":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
+	"trailer":             {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", block},
+	"trailers":            {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	"body without length": {ok + "\r\n", block},
+	"body of huge length": {ok + "Content-Length: 9000000000000000000\r\n\r\n", block},
+	"failure":             {"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n\r\n", block},
+	"failure in chunks":   {"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
+}
+
+// Server sends a Response to each request.
+type Server struct {
+	listener net.Listener
+	response Response
+	conns    sync.WaitGroup
+}
+
+// NewServer starts a server on addr. Close stops it.
+func NewServer(addr string, r Response) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &Server{listener: l, response: r}
+	s.conns.Go(s.accept)
+	return s, nil
+}
+
+// Addr returns the address of s.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Close stops s and waits until the clients have closed all connections.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.conns.Wait()
+	return err
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		s.conns.Go(func() { s.serve(c) })
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer c.Close()
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, err = io.WriteString(c, strings.ReplaceAll(s.response.Head, "ID", req.Header.Get("Lavenderrill-Request-Id")))
+	repeat := []byte(s.response.Repeat) // no garbage that would count as the client's
+	for err == nil {
+		_, err = c.Write(repeat)
+	}
+}
+
+// PeakHeap calls f and returns by how many bytes the heap in use grew at most meanwhile.
+func PeakHeap(f func()) uint64 {
+	runtime.GC()
+	before := heapInUse()
+	done := make(chan struct{})
+	peak := make(chan uint64)
+	go func() {
+		highest := before
+		for {
+			highest = max(highest, heapInUse())
+			select {
+			case <-done:
+				peak <- max(highest, heapInUse())
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	}()
+	f()
+	close(done)
+	return <-peak - before
+}
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse
+}
