Do not count bulk responses that no buffer can hold

Two bulk responses of a Content-Length near 2^63 that a gate handled at the same moment overflowed its count of buffered bytes: the sum was negative, so that the gate allocated a buffer of that length, which panics, or, for a length that the address space allows, may take all memory. A panic also left the count wrong for good.

A response longer than all buffers is passed on without being counted, as before. Found while looking for responses without end.

--- a/internal/backend/fetch_test.go
+++ b/internal/backend/fetch_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -69,3 +72,22 @@
 	require.Equal(t, string(fault.OutcomeUnknown), partial.Header.Get(fault.KindHeader))
 	require.Zero(t, r.bufferedBytes.Load())
 }
+
+// TestHugeContentLength guards against bulk responses of a huge length that together
+// overflow the count of buffered bytes, so that a buffer of that length is allocated.
+func TestHugeContentLength(t *testing.T) {
+	g := newTestGate(t, "", func(c *Config) { c.Pacer = hop.NewPacer(1 << 30) })
+	var pending sync.WaitGroup
+	for range 64 {
+		pending.Go(func() {
+			for range 2000 {
+				resp := &http.Response{ContentLength: math.MaxInt64, Body: io.NopCloser(strings.NewReader(""))}
+				n, err := g.bufferBody(resp)
+				require.NoError(t, err)
+				require.Zero(t, n)
+			}
+		})
+	}
+	pending.Wait()
+	require.Zero(t, g.bufferedBytes.Load())
+}
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -140,7 +140,7 @@
 // a request whose body was truncated can be retried.
 func (g *Gate) bufferBody(resp *http.Response) (int64, error) {
 	n := resp.ContentLength
-	if n <= 0 || resp.Body == http.NoBody || g.conf.Pacer == nil {
+	if n <= 0 || n > maxBufferedBytes || resp.Body == http.NoBody || g.conf.Pacer == nil {
 		return 0, nil
 	}
 	if g.bufferedBytes.Add(n) > maxBufferedBytes {
