Bound log lines and refusals whatever a peer sends

A backend server that sent a line of 60 KB that is no answer had it repeated, in escaped form, in a log line of 300 KB and in the reason of the refusal, which goes to the node that asked: with each request, so that a faulty server filled the log and the memory of two nodes. net/http quotes the line that it cannot parse.

The logger shortens fields over 1 KiB, and a refusal keeps 512 bytes of its reason. Messages of the standard logger were limited already.

--- a/internal/core/fault/error.go
+++ b/internal/core/fault/error.go
@@ -37,8 +37,15 @@
 	RetryAfter time.Duration
 }
 
-// New returns an error of kind k with the default run state of k.
+// maxReasonBytes limits a reason, which is part of responses and log lines. The cause may
+// quote what a peer sent.
+const maxReasonBytes = 512
+
+// New returns an error of kind k with the default run state of k. A long reason is cut.
 func New(k Kind, reason string) *Error {
+	if len(reason) > maxReasonBytes {
+		reason = strings.ToValidUTF8(reason[:maxReasonBytes], "") + "..."
+	}
 	return &Error{Kind: k, Run: LookupKind(k).Run, Reason: reason}
 }
 
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log"
 	"strings"
 	"sync"
@@ -71,6 +72,24 @@
 	require.Contains(t, b.String(), "node stops")
 }
 
+// TestLongFields guards against a log line that grows with what a peer has sent.
+func TestLongFields(t *testing.T) {
+	var b bytes.Buffer
+	w := NewWriter(&b)
+	long := strings.Repeat("\x01", 64<<10)
+	log := New(w, zap.InfoLevel).With(zap.String("node", long))
+	fields := []zap.Field{zap.String("reason", long), zap.Error(errors.New(long)), zap.String("request", "r1"), zap.Int("status", 200)}
+	log.Info("request refused", fields...)
+	log.Info("node stops", zap.Error(nil))
+	require.NoError(t, w.Sync())
+	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Less(t, len(lines[0]), 3*7*maxFieldBytes) // an escaped byte takes six
+	require.Contains(t, lines[0], `(65536 bytes)`)
+	require.Contains(t, lines[0], `"request":"r1","status":200`)
+	require.Equal(t, long, fields[0].String, "the fields of the caller")
+}
+
 // TestTrace guards against a trace that misses lines of another node, includes lines
 // of other requests, or fails on a truncated line.
 func TestTrace(t *testing.T) {
--- a/internal/logging/writer.go
+++ b/internal/logging/writer.go
@@ -95,12 +95,12 @@
 // Dropped returns the number of lines dropped so far because the target was too slow.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// New returns a logger that writes JSON lines to w. It samples messages that repeat
-// at a high rate and periodically logs the number of omitted lines.
+// New returns a logger that writes JSON lines to w. It shortens long fields, samples
+// messages that repeat at a high rate, and periodically logs the number of omitted lines.
 func New(w *Writer, level zapcore.Level) *zap.Logger {
 	c := zap.NewProductionEncoderConfig()
 	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), w, level)
+	core := fieldLimiter{zapcore.NewCore(zapcore.NewJSONEncoder(c), w, level)}
 	r := &samplingReport{log: zap.New(core), writer: w}
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter, zapcore.SamplerHook(r.recordSampling)))
 }
