Test nodes whose backend server sends bytes without end to 50 callers

Real processes: 19 forms of responses, and the forwardable ones once more with the id and a signature, meet 50 callers at a time and the health checks.

--- a/internal/standin/endless/server.go
+++ b/internal/standin/endless/server.go
@@ -43,20 +43,22 @@
 	"failure in chunks":   {"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
 }
 
-// Server sends a Response to each request.
+// Server sends a Response to each request. The text ID in its head is replaced by the id
+// of the request.
 type Server struct {
-	listener net.Listener
-	response Response
-	conns    sync.WaitGroup
+	listener  net.Listener
+	responses []Response // of the connections in turn
+	accepted  int
+	conns     sync.WaitGroup
 }
 
 // NewServer starts a server on addr. Close stops it.
-func NewServer(addr string, r Response) (*Server, error) {
+func NewServer(addr string, rs ...Response) (*Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &Server{listener: l, response: r}
+	s := &Server{listener: l, responses: rs}
 	s.conns.Go(s.accept)
 	return s, nil
 }
@@ -77,18 +79,20 @@
 		if err != nil {
 			return // closed
 		}
-		s.conns.Go(func() { s.serve(c) })
+		r := s.responses[s.accepted%len(s.responses)]
+		s.accepted++
+		s.conns.Go(func() { serve(c, r) })
 	}
 }
 
-func (s *Server) serve(c net.Conn) {
+func serve(c net.Conn, r Response) {
 	defer c.Close()
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
-	_, err = io.WriteString(c, strings.ReplaceAll(s.response.Head, "ID", req.Header.Get("Lavenderrill-Request-Id")))
-	repeat := []byte(s.response.Repeat) // no garbage that would count as the client's
+	_, err = io.WriteString(c, strings.ReplaceAll(r.Head, "ID", req.Header.Get("Lavenderrill-Request-Id")))
+	repeat := []byte(r.Repeat) // no garbage that would count as the client's
 	for err == nil {
 		_, err = c.Write(repeat)
 	}
