Bound the wait for the body of another node's configuration

A node that starts asks a watcher for the configuration before it reads the store. Once the header of the response had arrived, nothing bounded the wait for its body: a watcher that froze in the middle, or another server at its address that sent bytes slowly or empty deflate blocks without end, kept the node without a configuration.

--- a/internal/hosted/share.go
+++ b/internal/hosted/share.go
@@ -154,12 +154,13 @@
 }
 
 // requestConfig makes a request for a configuration and waits for the header of the
-// response until the timeout. The configuration is nil if the other node has none to send.
+// response until the timeout, and for its body for readTimeout. The configuration is nil if
+// the other node has none to send.
 func (n *Node) requestConfig(ctx context.Context, addr mesh.Addr, want string, q url.Values, timeout time.Duration) (*platform.Config, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	headerTimer := time.AfterFunc(timeout, cancel)
-	defer headerTimer.Stop()
+	timer := time.AfterFunc(timeout, cancel)
+	defer timer.Stop()
 	resp, _, err := n.configTransport.RoundTrip(ctx, &http.Request{
 		Method: http.MethodGet,
 		URL:    &url.URL{Scheme: "http", Host: string(addr), Path: "/", RawQuery: q.Encode()},
@@ -171,7 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
-	headerTimer.Stop()
+	timer.Reset(readTimeout)
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
--- a/internal/hosted/watcher_test.go
+++ b/internal/hosted/watcher_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/internal/settings"
+	"lavenderrill.dev/lavenderrill/internal/standin/endless"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
 	"lavenderrill.dev/lavenderrill/platform"
@@ -102,3 +106,40 @@
 		})
 	}
 }
+
+// TestEndlessWatcherResponse guards against a response of a watcher without end, or that
+// arrives slowly without end, that takes the memory of a node or that it waits for: also
+// a node that starts, which asks for the configuration before it reads the store.
+func TestEndlessWatcherResponse(t *testing.T) {
+	const (
+		slack   = time.Second
+		maxHeap = 8 * maxConfigBytes
+	)
+	const ok = "HTTP/1.1 200 OK\r\n\r\n"
+	responses := maps.Clone(endless.Responses)
+	var zeros bytes.Buffer
+	z := gzip.NewWriter(&zeros)
+	_, err := z.Write(make([]byte, 64*maxConfigBytes))
+	require.NoError(t, errors.Join(err, z.Flush()))
+	responses["compressed"] = endless.Response{Head: ok + zeros.String(), Repeat: "a"}
+	const gzipHeader = "\x1f\x8b\x08\x00\x00\x00\x00\x00\x00\xff"
+	responses["empty blocks"] = endless.Response{Head: ok + gzipHeader, Repeat: strings.Repeat("\x00\x00\x00\xff\xff", 1000)}
+	responses["slow body"] = endless.Response{Head: ok + gzipHeader, Repeat: "\x00\x00\x00\xff\xff", Pause: 100 * time.Millisecond}
+	responses["slow header"] = endless.Response{Head: "HTTP/1.1 200 OK\r\n", Repeat: "X: y\r\n", Pause: 100 * time.Millisecond}
+	for name, r := range responses {
+		t.Run(name, func(t *testing.T) {
+			srv, err := endless.NewServer("127.0.0.1:0", r)
+			require.NoError(t, err)
+			n := &Node{configTransport: hop.New(hop.Config{})}
+			n.nodeSettings.Store(&settings.Hosted{})
+			start := time.Now()
+			peak := endless.PeakHeap(func() {
+				_, err = n.askWatcher(t.Context(), mesh.Addr(srv.Addr()), 0, 0)
+			})
+			require.Error(t, err)
+			require.Less(t, time.Since(start), upstreamGrace+readTimeout+slack)
+			require.Less(t, peak, uint64(maxHeap))
+			require.NoError(t, srv.Close(), "closes once the node has closed its connection")
+		})
+	}
+}
--- a/internal/standin/endless/server.go
+++ b/internal/standin/endless/server.go
@@ -13,8 +13,11 @@
 )
 
 // Response is a response that does not end: Head once, then Repeat until the client
-// closes the connection.
-type Response struct{ Head, Repeat string }
+// closes the connection, with a pause before each if Pause is not 0.
+type Response struct {
+	Head, Repeat string
+	Pause        time.Duration
+}
 
 const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 
@@ -22,25 +25,25 @@
 
 // Responses has a response for each part of an HTTP/1.1 message that may lack an end.
 var Responses = map[string]Response{
-	"no protocol":         {"", block},
-	"no protocol, lines":  {"", strings.Repeat("\x01", 100) + "\r\n"},
-	"status line":         {"HTTP/1.1 200 ", block},
-	"header line":         {ok + "X: ", block},
-	"header lines":        {ok, "X: " + block + "\r\n"},
-	"empty header lines":  {ok, "X: \r\n"},
-	"continued lines":     {ok + "X: y\r\n", " z\r\n"},
-	"informational":       {"", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
-	"100 continue":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-	"chunk size":          {ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
-	"chunk extension":     {ok + "Transfer-Encoding: chunked\r\n\r\n1;", block},
-	"small chunks":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "1;" + block[:1000] + "\r\na\r\n"},
-	"chunked body":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
-	"trailer":             {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", block},
-	"trailers":            {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
-	"body without length": {ok + "\r\n", block},
-	"body of huge length": {ok + "Content-Length: 9000000000000000000\r\n\r\n", block},
-	"failure":             {"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n\r\n", block},
-	"failure in chunks":   {"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
+	"no protocol":         {Head: "", Repeat: block},
+	"no protocol, lines":  {Head: "", Repeat: strings.Repeat("\x01", 100) + "\r\n"},
+	"status line":         {Head: "HTTP/1.1 200 ", Repeat: block},
+	"header line":         {Head: ok + "X: ", Repeat: block},
+	"header lines":        {Head: ok, Repeat: "X: " + block + "\r\n"},
+	"empty header lines":  {Head: ok, Repeat: "X: \r\n"},
+	"continued lines":     {Head: ok + "X: y\r\n", Repeat: " z\r\n"},
+	"informational":       {Head: "", Repeat: "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+	"100 continue":        {Head: "", Repeat: "HTTP/1.1 100 Continue\r\n\r\n"},
+	"chunk size":          {Head: ok + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "0"},
+	"chunk extension":     {Head: ok + "Transfer-Encoding: chunked\r\n\r\n1;", Repeat: block},
+	"small chunks":        {Head: ok + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "1;" + block[:1000] + "\r\na\r\n"},
+	"chunked body":        {Head: ok + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "1000\r\n" + block + "\r\n"},
+	"trailer":             {Head: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", Repeat: block},
+	"trailers":            {Head: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: "X: y\r\n"},
+	"body without length": {Head: ok + "\r\n", Repeat: block},
+	"body of huge length": {Head: ok + "Content-Length: 9000000000000000000\r\n\r\n", Repeat: block},
+	"failure":             {Head: "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n\r\n", Repeat: block},
+	"failure in chunks":   {Head: "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n", Repeat: "1000\r\n" + block + "\r\n"},
 }
 
 // Server sends a Response to each request. The text ID in its head is replaced by the id
@@ -94,6 +97,7 @@
 	_, err = io.WriteString(c, strings.ReplaceAll(r.Head, "ID", req.Header.Get("Lavenderrill-Request-Id")))
 	repeat := []byte(r.Repeat) // no garbage that would count as the client's
 	for err == nil {
+		time.Sleep(r.Pause)
 		_, err = c.Write(repeat)
 	}
 }
