Resume a response only where its request may be retried

Cause: the resumption of a response was decided by method, status and entity tag, and limited by a constant and the budget only. To resume means to run the request again. It is now a retry after an attempt that has run, which retry.Decide allows or not by the route, its attempts, the depth, the deadline and the budget.

--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -90,6 +90,7 @@
 			with("short", "/short", func(r *config.Route) { r.Deadline = 100 * time.Millisecond }),
 			with("hedge", "/hedge", func(r *config.Route) { r.Idempotent, r.Retry.Hedge = true, 20*time.Millisecond }),
 			with("limited", "/limited", func(r *config.Route) { r.Rate = 2 }),
+			with("single", "/single", func(r *config.Route) { r.Idempotent, r.Retry.Attempts = true, 1 }),
 			with("guide", "/guide", func(r *config.Route) { r.Idempotent, r.Rank = true, "bulk" }),
 		},
 	}
--- a/internal/caller/resume.go
+++ b/internal/caller/resume.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/retry"
 	"lavenderrill.dev/lavenderrill/internal/core/route"
 )
 
@@ -42,13 +44,17 @@
 	return r.resumable && r.resumeCount < maxResumes && (n > 0 || r.resumeCount == 0)
 }
 
-// resume requests the rest of the body from any endpoint and returns nil if
-// none provides it.
+// resume requests the rest of the body from any endpoint and returns nil if none provides
+// it. The backend server runs the request again, so that this is a retry after an attempt
+// that has run, under the same conditions as any other.
 func (c *Caller) resume(q *call, r *resumption) *attempt {
 	r.resumeCount++
+	q.sentAttempts++ // the attempt whose body was interrupted
 	now := time.Now()
-	if q.canceled() || !now.Before(q.deadline) || !c.budgets.Get(q.service, q.rank()).TryWithdraw(now) {
-		c.counts.resumes.Add("denied", 1)
+	s := q.retryState(now)
+	s.Kind, s.Run, s.Sent, s.Replayable = fault.OutcomeUnknown, fault.RunUnknown, true, !q.hasBody || q.body.rest == nil
+	if v := retry.Decide(s, c.budgets.Get(q.service, q.rank()), now); v.Action != retry.Retry {
+		c.counts.resumes.Add(string(v.Reason), 1)
 		return nil
 	}
 	a := c.nextAttempt(q)
--- a/internal/caller/resume_test.go
+++ b/internal/caller/resume_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/pkg/mesh"
 )
 
 // contentHandler serves body with an entity tag and aborts each response after
@@ -124,6 +126,40 @@
 	b.requireIdle()
 }
 
+// TestResumeIsRetry guards against a response that is resumed, and its request so run, where
+// a retry is not allowed: of a request that is not idempotent, whatever its method, beyond
+// the attempts of the route, for a backend server, or without a budget.
+func TestResumeIsRetry(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 300<<10)
+	for name, c := range map[string]struct {
+		path   string
+		header []string
+		drain  bool // the budget is used up before
+		runs   int64
+	}{
+		"not idempotent":      {path: "/once", runs: 1},
+		"one attempt":         {path: "/single", runs: 1},
+		"three attempts":      {path: "/guide", runs: 3},
+		"of a backend server": {path: "/guide", header: []string{mesh.DepthHeader, "1"}, runs: 1},
+		"without a budget":    {path: "/guide", drain: true, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := contentHandler(body, `"v1"`, 20<<10)
+			b, g1, g2 := newTwoGateCaller(t, cut, cut)
+			budget := b.budgets.Get("s", "bulk")
+			for range 100 {
+				budget.RecordRequest(time.Now())
+			}
+			for c.drain && budget.TryWithdraw(time.Now()) {
+			}
+			a := b.do("GET", c.path, "", c.header...)
+			require.Error(t, a.err, "a truncated body must not end cleanly")
+			require.Equal(t, c.runs, g1.hits.Load()+g2.hits.Load())
+			b.requireIdle()
+		})
+	}
+}
+
 // TestContentRange guards against accepting a value that is not a byte range
 // with a known size.
 func TestContentRange(t *testing.T) {
