Name the service of the settings in force as the caller of requests

A node whose settings changed its service went on to name the one of its start in Lavenderrill-Caller-Service, for all requests that begin on its VM.

The service was copied into the caller's configuration when the node was built. It is now asked for with each request.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -113,7 +113,7 @@
 		string(q.route.Account),
 		string(q.service),
 		q.route.Name,
-		string(c.cfg.Service),
+		string(c.cfg.Service()),
 	}
 	if left, ok := c.targetLeft(q, a.started); ok {
 		h[mesh.TargetHeader] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -48,7 +48,7 @@
 	HopToken     string                  // authenticates requests to gates
 	Ready        func() bool             // reports whether callers may be served; nil means always
 	LatencyAware bool                    // selects endpoints by their expected response time
-	Service      mesh.Service            // service of the backend server next to this node
+	Service      func() mesh.Service     // service of the backend server next to this node; nil for none
 	Metrics      *metric.Registry
 	Log          *zap.Logger
 
@@ -101,6 +101,9 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.Service == nil {
+		c.Service = func() mesh.Service { return "" }
+	}
 	if c.Pools == nil {
 		c.Pools = hop.NewPools(hop.Config{}, hop.Config{})
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -251,7 +251,7 @@
 	return caller.New(caller.Config{
 		ID:           set.ID,
 		Zone:         set.Zone,
-		Service:      set.Service,
+		Service:      func() mesh.Service { return n.nodeSettings.Load().Service },
 		Ready:        func() bool { return !n.pauses.Recent() },
 		SwitchTime:   callerDrainTime,
 		LatencyAware: true,
