Do not announce a backend server under the service that its VM had before

It now reads a changed file before it announces another instance, and when a heartbeat names another service. A changed service or address withdraws the server.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -19,6 +19,9 @@
 // handleHeartbeat processes a heartbeat of the backend server and announces its state
 // to the gate unless the heartbeat is stale.
 func (n *Node) handleHeartbeat(b platform.Heartbeat) error {
+	if b.Service != n.nodeSettings.Load().Service {
+		n.refreshSettings() // the VM may have a backend server of another service now
+	}
 	set := n.nodeSettings.Load()
 	if b.Service != set.Service {
 		n.log.Warn("refused heartbeat of another service", zap.String("service", string(b.Service)))
@@ -258,6 +261,11 @@
 	n.leftDuringCheck = make(map[mesh.Instance]struct{})
 	n.mu.Unlock()
 	id, err := platform.CheckHealth(ctx, set.Backend, path)
+	if id != asked {
+		// The address may belong to a backend server of another service now, which the answer
+		// does not tell.
+		n.refreshSettings()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	_, left := n.leftDuringCheck[id]
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,6 +21,10 @@
 
 	replaced platform.BackendStart // last start in whose place a health check found another instance
 
+	// reassigned is the instance that was known when the settings named another service or
+	// address. A heartbeat names its service and a health check does not.
+	reassigned mesh.Instance
+
 	// departed holds the last starts that have reported that they leave, oldest first,
 	// whether or not they were known before.
 	departed []platform.BackendStart
@@ -61,7 +66,7 @@
 		s.born, s.sequence, s.draining = b.Born, b.Sequence, b.Draining
 		return heartbeatRenewal
 	}
-	*s = instanceTracker{id: b.Instance, born: b.Born, sequence: b.Sequence, draining: b.Draining, replaced: s.replaced, departed: s.departed}
+	*s = instanceTracker{id: b.Instance, born: b.Born, sequence: b.Sequence, draining: b.Draining, replaced: s.replaced, departed: s.departed, reassigned: s.reassigned}
 	return heartbeatNewStart
 }
 
@@ -104,6 +109,11 @@
 	return left
 }
 
+// forget drops the current instance, since the settings name another service or address.
+func (s *instanceTracker) forget() {
+	*s = instanceTracker{replaced: s.replaced, departed: s.departed, reassigned: cmp.Or(s.id, s.reassigned)}
+}
+
 // continues reports whether the instance is known and has not reported that it leaves.
 func (s *instanceTracker) continues() bool { return s.id != "" && !s.left && !s.draining }
 
@@ -128,10 +138,10 @@
 }
 
 // recordHealthCheck records the instance that answered a health check and reports
-// whether it was unknown. The answer does not tell a departed start from a later one under
-// the same id, which shows itself by a heartbeat.
+// whether it was unknown. The answer tells neither a departed start from a later one under
+// the same id, nor the service of the instance, which a heartbeat shows.
 func (s *instanceTracker) recordHealthCheck(id mesh.Instance) bool {
-	if id == s.id || slices.ContainsFunc(s.departed, func(d platform.BackendStart) bool { return d.Instance == id }) {
+	if id == s.id || id == s.reassigned || slices.ContainsFunc(s.departed, func(d platform.BackendStart) bool { return d.Instance == id }) {
 		return false
 	}
 	replaced := s.replaced
@@ -140,6 +150,6 @@
 	}
 	// The first heartbeat of this start reports its start time, which may be before that of
 	// the replaced one if the clock was set back.
-	*s = instanceTracker{id: id, replaced: replaced, departed: s.departed}
+	*s = instanceTracker{id: id, replaced: replaced, departed: s.departed, reassigned: s.reassigned}
 	return true
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -74,6 +74,8 @@
 type Node struct {
 	nodeSettings atomic.Pointer[settings.Hosted]
 	settingsPath string
+	reloadMu     sync.Mutex
+	settingsTime time.Time        // modification time of the settings file when it was last read; guarded by reloadMu
 	reloads      <-chan os.Signal // each signal requests that the settings are read again
 	log          *zap.Logger
 	metrics      *metric.Registry
@@ -120,12 +122,13 @@
 
 // New reads the settings file, opens the listeners and builds the node.
 func New(c Config) (*Node, error) {
+	settingsTime := modTime(c.SettingsPath)
 	set, err := platform.ReadSettings(c.SettingsPath)
 	if err != nil {
 		return nil, fault.Newf(fault.Settings, "%s: %w", c.SettingsPath, err)
 	}
 	n := &Node{
-		settingsPath: c.SettingsPath, reloads: c.Reloads, log: c.Log.With(zap.String("node", string(set.ID))),
+		settingsPath: c.SettingsPath, settingsTime: settingsTime, reloads: c.Reloads, log: c.Log.With(zap.String("node", string(set.ID))),
 		started: time.Now(), pauses: pause.New(pause.Config{}), metrics: metric.New(), recheck: make(chan struct{}, 1),
 	}
 	n.nodeSettings.Store(&set)
--- a/internal/hosted/reload.go
+++ b/internal/hosted/reload.go
@@ -40,19 +40,26 @@
 func (n *Node) watchSettings(ctx context.Context) error {
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
-	last := modTime(n.settingsPath)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-n.reloads:
+			n.reloadMu.Lock()
+			n.reload(modTime(n.settingsPath))
+			n.reloadMu.Unlock()
 		case <-t.C:
-			if m := modTime(n.settingsPath); m.Equal(last) {
-				continue
-			}
+			n.refreshSettings()
 		}
-		last = modTime(n.settingsPath)
-		n.reload()
+	}
+}
+
+// refreshSettings reloads the settings file if it has changed since it was last read.
+func (n *Node) refreshSettings() {
+	n.reloadMu.Lock()
+	defer n.reloadMu.Unlock()
+	if m := modTime(n.settingsPath); !m.Equal(n.settingsTime) {
+		n.reload(m)
 	}
 }
 
@@ -66,9 +73,10 @@
 	return s.ModTime()
 }
 
-// reload applies the settings that can change while the node runs. Invalid settings
-// change nothing.
-func (n *Node) reload() {
+// reload applies the settings that can change while the node runs, from a file that was
+// modified at the given time. Invalid settings change nothing. n.reloadMu must be held.
+func (n *Node) reload(modified time.Time) {
+	n.settingsTime = modified
 	set, err := platform.ReadSettings(n.settingsPath)
 	if err != nil {
 		n.log.Error("invalid settings; keeping the current ones", zap.Error(err))
@@ -84,11 +92,24 @@
 	effective.ID, effective.Zone, effective.Caller, effective.Ready, effective.Announce, effective.Peer, effective.Store =
 		old.ID, old.Zone, old.Caller, old.Ready, old.Announce, old.Peer, old.Store
 	n.nodeSettings.Store(&effective)
+	if effective.Service != old.Service || effective.Backend != old.Backend {
+		n.replaceBackend()
+	}
 	limitProcess(&effective)
 	n.updateRetryBudget(n.peer.Members())
 	n.log.Info("settings changed", zap.Bool("restart_needed", effective != set))
 }
 
+// replaceBackend withdraws the backend server: the VM now has one of another service or
+// address, which announces itself.
+func (n *Node) replaceBackend() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pendingAnnounce, n.unconfirmed, n.healthy = nil, nil, ""
+	n.instance.forget()
+	n.gate.Withdraw()
+}
+
 const (
 	// retryBudgetWindow is the window of retry.Budget.
 	retryBudgetWindow = 10 * time.Second
