Apply the limits of the configuration to requests of callers

The node took the constants of the project's own interface.

The limits in force are now asked for with each request; the constants are defaults. A header is read up to the 1 MiB of net/http, at the gate with the fields of the mesh, so that no constant stands below a usual setting.

TestLimitsInForce has the combinations.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	q.hasBody = true
-	limited := hop.LimitBody(q.w, in, c.cfg.MaxBody)
+	limited := hop.LimitBody(q.w, in, q.limits.MaxBody)
 	rc := http.NewResponseController(q.w)
 	if in.ContentLength > maxBufferedBytes {
 		q.body.rest = limited
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -22,6 +22,7 @@
 	table          *route.Table // one table for the whole request
 	route          *route.Route
 	service        mesh.Service // the service of the route or one of its shares
+	limits         Limits       // in force on arrival
 	throttle       mesh.Rank    // rank under which the request is throttled
 	deadline       time.Time
 	callerDeadline time.Time          // deadline that the caller sent, zero if none
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -64,6 +65,10 @@
 	// Refuse writes a refusal to the caller; fault.Write if nil.
 	Refuse func(http.ResponseWriter, *fault.Error, mesh.RequestID)
 
+	// Limits returns the limits of the configuration in force; may be nil. Fields that are
+	// 0 get the limits below.
+	Limits func() Limits
+
 	MaxHeader     int           // maximum size of a request header in bytes
 	MaxBody       int64         // maximum size of a request body in bytes
 	HeaderTimeout time.Duration // for reading a request header
@@ -81,6 +86,22 @@
 	RequestQuota func(ctx context.Context, ds []quota.Demand, granted func(quota.Grant), failed func(quota.Key))
 }
 
+// Limits bound a request of a caller.
+type Limits struct {
+	MaxHeader int   // size of the header in bytes
+	MaxBody   int64 // size of the body in bytes
+}
+
+// limits returns the limits in force.
+func (c *Config) limits() Limits {
+	l := Limits{MaxHeader: c.MaxHeader, MaxBody: c.MaxBody}
+	if c.Limits == nil {
+		return l
+	}
+	current := c.Limits()
+	return Limits{MaxHeader: cmp.Or(current.MaxHeader, l.MaxHeader), MaxBody: cmp.Or(current.MaxBody, l.MaxBody)}
+}
+
 func (c Config) withDefaults() Config {
 	setDefault(&c.MaxHeader, defaultMaxHeader)
 	setDefault(&c.MaxBody, defaultMaxBody)
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -240,6 +240,36 @@
 	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
 }
 
+// TestLimitsInForce guards against a constant of the program that refuses what the
+// configuration allows, or allows what that refuses.
+func TestLimitsInForce(t *testing.T) {
+	b := newTestCaller(t, newGate(t, "e1", echo))
+	b.cfg.MaxHeader, b.cfg.MaxBody = 8<<10, 100<<10
+	var limits Limits
+	b.cfg.Limits = func() Limits { return limits }
+	body, header := strings.Repeat("x", 300<<10), strings.Repeat("x", 100<<10)
+	for _, c := range []struct {
+		limits     Limits
+		bodyKind   fault.Kind // of a body of 300 KiB
+		headerKind fault.Kind // of a header of 100 KiB
+	}{
+		{Limits{}, fault.BodyTooLarge, fault.HeaderTooLarge},
+		{Limits{MaxHeader: 128 << 10, MaxBody: 1 << 20}, "", ""},
+		{Limits{MaxHeader: 64 << 10, MaxBody: 299 << 10}, fault.BodyTooLarge, fault.HeaderTooLarge},
+		{Limits{MaxHeader: 128 << 10}, fault.BodyTooLarge, ""},
+		{Limits{MaxBody: 300 << 10}, "", fault.HeaderTooLarge},
+	} {
+		limits = c.limits
+		a := b.do("POST", "/read", body)
+		require.Equal(t, c.bodyKind, a.kind(), c)
+		if c.bodyKind == "" {
+			require.Equal(t, 200, a.code, c)
+			require.Contains(t, a.body, body)
+		}
+		require.Equal(t, c.headerKind, b.do("GET", "/read", "", "X-Large", header).kind(), c)
+	}
+}
+
 // TestHedge guards against a hedge that never starts, a canceled attempt that
 // still counts as in flight, and hedges on a route that has none.
 func TestHedge(t *testing.T) {
--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -31,9 +31,10 @@
 	q.w.Header()[mesh.RequestHeader] = []string{string(q.id)}
 	depth, deadline := h.Get(mesh.DepthHeader), h.Get(mesh.DeadlineHeader)
 	removeReserved(h)
-	if n := headerSize(q.in); n > c.cfg.MaxHeader {
+	q.limits = c.cfg.limits()
+	if n := headerSize(q.in); n > q.limits.MaxHeader {
 		q.w.Header()["Connection"] = closeValue
-		return ctx, fault.Newf(fault.HeaderTooLarge, "header has %d bytes, want at most %d", n, c.cfg.MaxHeader)
+		return ctx, fault.Newf(fault.HeaderTooLarge, "header has %d bytes, want at most %d", n, q.limits.MaxHeader)
 	}
 	if d := c.shutdownRetryAfter.Load(); d > 0 {
 		e := fault.New(fault.Draining, "node stops")
@@ -43,7 +44,7 @@
 	if !c.cfg.Ready() {
 		return ctx, fault.New(fault.NotReady, "node is not ready")
 	}
-	if e := hop.ValidateRequest(q.in, c.cfg.MaxBody); e != nil {
+	if e := hop.ValidateRequest(q.in, q.limits.MaxBody); e != nil {
 		return ctx, e
 	}
 	if q.in.Method == http.MethodTrace {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// headerReadFactor is the multiple of MaxHeader up to which a header is
-	// read, so that one above MaxHeader is refused with its kind. net/http
-	// itself answers a longer one with a plain 431.
-	headerReadFactor     = 4
+	// maxHeaderRead is the size up to which a header is read, so that one above
+	// the limit in force is refused with its kind. net/http itself answers a
+	// longer one with a plain 431.
+	maxHeaderRead        = http.DefaultMaxHeaderBytes
 	maxConcurrentStreams = 250 // concurrent requests of one HTTP/2 connection
 	drainPollInterval    = 10 * time.Millisecond
 	// closeTimeout bounds the wait for requests that were read just before
@@ -46,7 +46,7 @@
 		ReadHeaderTimeout: c.cfg.HeaderTimeout,
 		IdleTimeout:       c.cfg.IdleTimeout,
 		WriteTimeout:      c.cfg.WriteTimeout,
-		MaxHeaderBytes:    headerReadFactor * c.cfg.MaxHeader,
+		MaxHeaderBytes:    max(maxHeaderRead, c.cfg.MaxHeader),
 		ErrorLog:          zap.NewStdLog(c.cfg.Log),
 		ConnState:         c.connState,
 		ConnContext:       hop.ConnContext,
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -248,6 +248,15 @@
 	return k[:]
 }
 
+// callerLimits returns the limits of requests in the configuration in force.
+func (n *Node) callerLimits() caller.Limits {
+	c := n.config.Load()
+	if c == nil {
+		return caller.Limits{}
+	}
+	return caller.Limits{MaxHeader: c.Limits.MaxHeaderBytes, MaxBody: c.Limits.MaxBodyBytes}
+}
+
 func (n *Node) newCaller() *caller.Caller {
 	set := n.nodeSettings.Load()
 	pool := hop.Config{DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout}
@@ -257,6 +266,7 @@
 		Service:      func() mesh.Service { return n.nodeSettings.Load().Service },
 		Ready:        func() bool { return !n.pauses.Recent() },
 		SwitchTime:   callerDrainTime,
+		Limits:       n.callerLimits,
 		LatencyAware: true,
 		Snapshot:     n.snapshot,
 		HopToken:     peer.HopToken(meshKey(set)),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,6 +21,8 @@
 	// maxConnsPerPeer limits the connections to one node.
 	maxConnsPerPeer   = 4
 	clientIdleTimeout = 30 * time.Second
+	// maxResponseHeaderBytes limits the header of a response, which has a few short fields.
+	maxResponseHeaderBytes = 64 << 10
 	// maxViewBytes limits the response to a request that is not about a configuration. The
 	// whole view of 2,500 members has about 200 KB.
 	maxViewBytes = 1 << 20
@@ -49,7 +51,7 @@
 			IdleConnTimeout:     clientIdleTimeout,
 			DisableCompression:  true, // the connect client compresses messages
 			// The default is 10 MB, for each connection.
-			MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 	}}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -18,7 +18,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	serverIdleTimeout = 90 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// maxHeaderBytes limits the header of a forwarded request, which is that of the caller
+	// with the fields of the mesh.
+	maxHeaderBytes = http.DefaultMaxHeaderBytes + 64<<10
 	// rpcTimeout limits one request between nodes on the receiving side.
 	rpcTimeout = 15 * time.Second
 	// maxConcurrentRPCs limits the requests between nodes that are served at a
--- a/internal/trial/endless_test.go
+++ b/internal/trial/endless_test.go
@@ -79,6 +79,40 @@
 	}
 }
 
+// TestHostedLargeBody guards against a node that refuses a body which the configuration
+// allows, or that keeps it in memory.
+func TestHostedLargeBody(t *testing.T) {
+	const (
+		limit = 64 << 20 // in the configuration
+		maxKB = 64 << 10
+	)
+	h := startHostedMesh(t, "book", "look")
+	h.configure("book", "look")
+	entry := h.nodes[1]
+	client := &http.Client{Timeout: 20 * time.Second}
+	defer client.CloseIdleConnections()
+	body := strings.Repeat("seat", limit/4)
+	for _, chunked := range []bool{false, true} {
+		for _, c := range []struct{ size, status int }{{limit, http.StatusOK}, {limit + 1, http.StatusRequestEntityTooLarge}} {
+			r := io.Reader(strings.NewReader((body + "s")[:c.size]))
+			if chunked {
+				r = struct{ io.Reader }{r} // hides the length
+			}
+			got := entry.sendBody(client, http.MethodPost, "/book/", r)
+			require.Equal(t, c.status, got.status, "%d bytes, chunked %t", c.size, chunked)
+			if c.status == http.StatusOK {
+				require.True(t, strings.HasSuffix(got.body, " "+body), "the body has changed")
+			}
+		}
+	}
+	for _, n := range h.nodes {
+		kb, err := peakMemory(n.process)
+		require.NoError(t, err)
+		t.Logf("peak memory of %s: %d KiB", n.ip, kb)
+		require.Less(t, kb, maxKB, n.ip)
+	}
+}
+
 // readsWhole sends a request to n and reports whether the response is a success that
 // ends.
 func readsWhole(c *http.Client, n *hostedNode, path string) bool {
