Forward the request ids of the platform's callers whatever their form

A hosted node now forwards an id as it is, and refuses a request without one, or with two, with 400. The project's own interface chooses ids as before. TestForwardIDs has both; three of its five ids were replaced before.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -68,6 +68,10 @@
 	// Limits returns the limits of the configuration in force; may be nil. Fields that are
 	// 0 get the limits below.
 	Limits func() Limits
+	// ForwardIDs means that the request ids of callers are forwarded whatever their form,
+	// and that a request without one is refused. Otherwise an id that is missing or not
+	// valid is replaced.
+	ForwardIDs bool
 
 	MaxHeader     int           // maximum size of a request header in bytes
 	MaxBody       int64         // maximum size of a request body in bytes
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -270,6 +270,40 @@
 	}
 }
 
+// TestForwardIDs guards against a request id that is replaced, so that a backend server runs
+// a request under an id that no caller has sent.
+func TestForwardIDs(t *testing.T) {
+	var got string
+	b := newTestCaller(t, newGate(t, "e1", func(w http.ResponseWriter, r *http.Request) { got = r.Header.Get(mesh.RequestHeader) }))
+	for _, forward := range []bool{true, false} {
+		b.cfg.ForwardIDs = forward
+		for _, c := range []struct {
+			id    string
+			valid bool // also where the mesh chooses ids
+		}{
+			{"9c41d07be2a35f68", true},
+			{"7d6fccdc.f8dd-a_b:c", true},
+			{strings.Repeat("a", 200), false},
+			{"id with spaces, /{}=", false},
+			{"caf\u00e9", false},
+		} {
+			a := b.do("GET", "/read", "", mesh.RequestHeader, c.id)
+			require.Equal(t, 200, a.code, c.id)
+			require.Equal(t, forward || c.valid, got == c.id, "%q became %q", c.id, got)
+			require.Equal(t, got, a.header.Get(mesh.RequestHeader))
+		}
+		got = ""
+		a := b.do("GET", "/read", "")
+		if forward {
+			require.Equal(t, fault.BadRequest, a.kind())
+			require.Equal(t, fault.BadRequest, b.do("GET", "/read", "", mesh.RequestHeader, "a", mesh.RequestHeader, "b").kind())
+			require.Empty(t, got)
+		} else {
+			require.NotEmpty(t, got)
+		}
+	}
+}
+
 // TestHedge guards against a hedge that never starts, a canceled attempt that
 // still counts as in flight, and hedges on a route that has none.
 func TestHedge(t *testing.T) {
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -154,7 +154,7 @@
 	require.NoError(b.t, err)
 	r.Host = "h.example"
 	for i := 0; i+1 < len(header); i += 2 {
-		r.Header.Set(header[i], header[i+1])
+		r.Header.Add(header[i], header[i+1])
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/internal/caller/identify.go
+++ b/internal/caller/identify.go
@@ -26,7 +26,8 @@
 // refuses requests that cannot be forwarded.
 func (c *Caller) identify(ctx context.Context, q *call) (context.Context, error) {
 	h := q.in.Header
-	q.id = requestID(h.Get(mesh.RequestHeader))
+	ids := h[mesh.RequestHeader]
+	q.id = c.requestID(ids)
 	q.nonce = strconv.FormatUint(rand.Uint64(), 36)
 	q.w.Header()[mesh.RequestHeader] = []string{string(q.id)}
 	depth, deadline := h.Get(mesh.DepthHeader), h.Get(mesh.DeadlineHeader)
@@ -47,6 +48,9 @@
 	if e := hop.ValidateRequest(q.in, q.limits.MaxBody); e != nil {
 		return ctx, e
 	}
+	if c.cfg.ForwardIDs && (len(ids) != 1 || q.id == "") {
+		return ctx, fault.Newf(fault.BadRequest, "%d request ids, want one that is not empty", len(ids))
+	}
 	if q.in.Method == http.MethodTrace {
 		// A response to TRACE would disclose the hop headers with the token.
 		return ctx, fault.New(fault.MethodNotAllowed, "TRACE is not supported")
@@ -83,9 +87,14 @@
 	return n
 }
 
-// requestID returns s if it is a valid request id, else a new one.
-func requestID(s string) mesh.RequestID {
-	if validID(s) {
+// requestID returns the id of a request that has ids: the first one, unless it is not valid
+// and may be replaced by a new one.
+func (c *Caller) requestID(ids []string) mesh.RequestID {
+	s := ""
+	if len(ids) > 0 {
+		s = ids[0]
+	}
+	if c.cfg.ForwardIDs || validID(s) {
 		return mesh.RequestID(s)
 	}
 	return mesh.RequestID(uuid.NewString())
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -267,6 +267,7 @@
 		Ready:        func() bool { return !n.pauses.Recent() },
 		SwitchTime:   callerDrainTime,
 		Limits:       n.callerLimits,
+		ForwardIDs:   true,
 		LatencyAware: true,
 		Snapshot:     n.snapshot,
 		HopToken:     peer.HopToken(meshKey(set)),
