--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -260,7 +260,7 @@
 	asked := n.instance.id
 	n.leftDuringCheck = make(map[mesh.Instance]struct{})
 	n.mu.Unlock()
-	id, err := platform.CheckHealth(ctx, set.Backend, path)
+	id, err := n.askHealth(ctx, set.Backend, path)
 	if id != asked {
 		// The address may belong to a backend server of another service now, which the answer
 		// does not tell.
--- a/internal/hosted/announce_test.go
+++ b/internal/hosted/announce_test.go
@@ -29,7 +29,7 @@
 		w.Header().Set("Lavenderrill-Instance-Id", id.Load().(string))
 	}))
 	defer s.Close()
-	n := &Node{log: zap.NewNop(), recheck: make(chan struct{}, 1)}
+	n := &Node{log: zap.NewNop(), askHealth: platform.CheckHealth, recheck: make(chan struct{}, 1)}
 	addr := mesh.Addr(s.Listener.Addr().String())
 	n.nodeSettings.Store(&settings.Hosted{Service: "s", Backend: addr, FirstStart: true})
 	n.config.Store(&platform.Config{Snapshot: &config.Snapshot{}})
@@ -119,7 +119,7 @@
 				w.Header().Set("Lavenderrill-Instance-Id", "a")
 			}))
 			defer s.Close()
-			n := &Node{log: zap.NewNop(), recheck: make(chan struct{}, 1)}
+			n := &Node{log: zap.NewNop(), askHealth: platform.CheckHealth, recheck: make(chan struct{}, 1)}
 			n.nodeSettings.Store(&settings.Hosted{Service: "s", Backend: mesh.Addr(s.Listener.Addr().String()), FirstStart: true})
 			n.config.Store(&platform.Config{Snapshot: &config.Snapshot{}})
 			n.gate = backend.New(backend.Config{Snapshot: n.snapshot})
@@ -153,7 +153,7 @@
 // TestForeignHeartbeat guards against a heartbeat of another backend server that takes
 // the place of the one on this VM.
 func TestForeignHeartbeat(t *testing.T) {
-	n := &Node{log: zap.NewNop(), recheck: make(chan struct{}, 1)}
+	n := &Node{log: zap.NewNop(), askHealth: platform.CheckHealth, recheck: make(chan struct{}, 1)}
 	n.nodeSettings.Store(&settings.Hosted{Service: "s", Backend: "127.0.0.1:5", FirstStart: true})
 	n.config.Store(&platform.Config{Snapshot: &config.Snapshot{}})
 	n.gate = backend.New(backend.Config{Snapshot: n.snapshot})
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -99,6 +99,10 @@
 	callerListener idleTimeoutListener
 	recheck        chan struct{} // requests a health check, since the instance may be another one
 
+	// askHealth asks the backend server at addr for its instance; platform.CheckHealth
+	// but in tests.
+	askHealth func(ctx context.Context, addr mesh.Addr, path string) (mesh.Instance, error)
+
 	started time.Time
 
 	mu              sync.Mutex // guards the fields below
@@ -129,7 +133,7 @@
 	}
 	n := &Node{
 		settingsPath: c.SettingsPath, settingsTime: settingsTime, reloads: c.Reloads, log: c.Log.With(zap.String("node", string(set.ID))),
-		started: time.Now(), pauses: pause.New(pause.Config{}), metrics: metric.New(), recheck: make(chan struct{}, 1),
+		askHealth: platform.CheckHealth, started: time.Now(), pauses: pause.New(pause.Config{}), metrics: metric.New(), recheck: make(chan struct{}, 1),
 	}
 	n.nodeSettings.Store(&set)
 	limitProcess(&set)
--- a/internal/hosted/register_test.go
+++ b/internal/hosted/register_test.go
@@ -93,6 +93,7 @@
 	lost    int  // writes to come whose response is lost
 	delayed []platform.NodeRow
 	delay   bool // lost writes take effect when release is called
+	instant bool // calls without a response fail at once
 }
 
 var errNoResponse = errors.New("no response")
@@ -114,6 +115,9 @@
 
 // hang waits until ctx is done. f.mu must be held.
 func (f *fakeRow) hang(ctx context.Context) error {
+	if f.instant {
+		return errNoResponse
+	}
 	f.mu.Unlock()
 	defer f.mu.Lock()
 	<-ctx.Done()
--- a/internal/hosted/rejection_test.go
+++ b/internal/hosted/rejection_test.go
@@ -37,7 +37,7 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}))
 			defer s.Close()
-			n := &Node{log: zap.NewNop(), recheck: make(chan struct{}, 1)}
+			n := &Node{log: zap.NewNop(), askHealth: platform.CheckHealth, recheck: make(chan struct{}, 1)}
 			addr := mesh.Addr(s.Listener.Addr().String())
 			n.nodeSettings.Store(&settings.Hosted{Service: "s", Backend: addr, FirstStart: true})
 			n.config.Store(&platform.Config{Snapshot: &config.Snapshot{Ranks: []config.RankPolicy{{Name: "p0", Target: time.Second}}}})
--- a/internal/hosted/reload_test.go
+++ b/internal/hosted/reload_test.go
@@ -80,7 +80,7 @@
 			write("old", time.Unix(1000, 0))
 			set, err := platform.ReadSettings(path)
 			require.NoError(t, err)
-			n := &Node{log: zap.NewNop(), recheck: make(chan struct{}, 1), settingsPath: path, settingsTime: time.Unix(1000, 0)}
+			n := &Node{log: zap.NewNop(), askHealth: platform.CheckHealth, recheck: make(chan struct{}, 1), settingsPath: path, settingsTime: time.Unix(1000, 0)}
 			n.nodeSettings.Store(&set)
 			n.config.Store(&platform.Config{Snapshot: &config.Snapshot{}})
 			n.gate = backend.New(backend.Config{Snapshot: n.snapshot})
