Drop the reports of an instance that a health check finds replaced

A node that waits for more reports of one instance and then finds another one at the address by a health check announced the second, but went on to hold back its heartbeats as reports of the first. Its drain then changed nothing until the row of the node had been read. Found by the model of departures, with an acknowledgement given too soon.

TestReplacedUnconfirmedStart fails before: the server is ready after its drain.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -299,7 +299,7 @@
 	if before != "" {
 		n.gate.Withdraw()
 	}
-	n.healthy = ""
+	n.unconfirmed, n.healthy = nil, "" // of the instance before
 	n.log.Info("backend server found by its health check", zap.String("instance", string(id)), zap.String("before", string(before)))
 	if err := n.announce(id, defaultSlots, false, 0); err != nil {
 		n.log.Error("failed to announce the backend server", zap.Error(err))
--- a/internal/hosted/model_test.go
+++ b/internal/hosted/model_test.go
@@ -379,3 +379,15 @@
 		})
 	}
 }
+
+// TestReplacedUnconfirmedStart guards against a drain that changes nothing, since reports
+// are still awaited of an instance that a health check has found replaced.
+func TestReplacedUnconfirmedStart(t *testing.T) {
+	s := departureSearch{env: newDepartureEnv(t), events: departureEvents}
+	var path []uint8
+	for _, name := range []string{"server begins to drain", "next server starts", "health check", "server begins to drain"} {
+		path = append(path, uint8(slices.IndexFunc(s.events, func(e event) bool { return e.name == name })))
+	}
+	require.Equal(t, member.Ready, s.replay(path[:3]).node.gate.Status().State)
+	require.Equal(t, member.Draining, s.replay(path).node.gate.Status().State)
+}
