Apply the departures in the row before they count as known

Between the read of the row and the record of its departures, a heartbeat that arrived on another goroutine found that the row was read and that nothing had departed, and made a departed server available. Found by reading.

The departures are recorded first, then they count as known, and only then a start that waited for them is announced. TestDepartureOutlivesProcess checks the order and fails with the old one.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -106,6 +106,13 @@
 		n.pendingAnnounce, n.unconfirmed = nil, nil
 		n.gate.Withdraw()
 	}
+}
+
+// confirmAfterRead announces a start for which no proof was missing but the departures
+// that earlier processes have acknowledged.
+func (n *Node) confirmAfterRead() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	if err := n.confirm(); err != nil {
 		n.log.Error("failed to announce the backend server", zap.Error(err))
 	}
--- a/internal/hosted/model_test.go
+++ b/internal/hosted/model_test.go
@@ -102,6 +102,7 @@
 	n.gate = backend.New(backend.Config{Snapshot: n.snapshot})
 	c := m.row.config()
 	c.self, c.log, c.onRead = platform.NodeRow{Addr: ownAddr, ID: "n"}, zap.NewNop(), n.adoptDepartures
+	c.onKnown = n.confirmAfterRead
 	if m.fault == ignoreRow {
 		c.onRead = func([]platform.BackendStart) {}
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -147,7 +147,7 @@
 	n.registration = newRegistration(registrationConfig{
 		self:       platform.NodeRow{Addr: mesh.Addr(set.Peer), ID: set.ID, Zone: set.Zone},
 		firstStart: set.FirstStart, find: n.rows.find, put: n.store.PutNode, remove: n.store.RemoveNode,
-		onRead: n.adoptDepartures, log: n.log,
+		onRead: n.adoptDepartures, onKnown: n.confirmAfterRead, log: n.log,
 	})
 	n.watcherSelector.self, n.watcherSelector.zone = set.ID, set.Zone
 	n.configTransport = hop.New(hop.Config{MaxConnsPerHost: maxConfigConnections, DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout})
--- a/internal/hosted/register.go
+++ b/internal/hosted/register.go
@@ -33,9 +33,11 @@
 	find       func(ctx context.Context, addr mesh.Addr) (platform.NodeRow, error)
 	put        func(context.Context, platform.NodeRow) (platform.Position, platform.NodeRow, error)
 	remove     func(context.Context, platform.NodeRow) (platform.NodeRow, error)
-	// onRead is called with the departures in the row that an earlier process has left.
-	onRead func([]platform.BackendStart)
-	log    *zap.Logger
+	// onRead is called with the departures in the row that an earlier process has left,
+	// before isRead reports that they are known, and onKnown after that.
+	onRead  func([]platform.BackendStart)
+	onKnown func()
+	log     *zap.Logger
 }
 
 // registration owns the row of this node in the store. Other nodes find this one by it,
@@ -186,8 +188,9 @@
 
 // adopt makes row, which the store has, the known one.
 func (r *registration) adopt(row platform.NodeRow) {
-	r.set(row)
 	r.onRead(row.Departed)
+	r.set(row)
+	r.onKnown()
 }
 
 func (r *registration) set(row platform.NodeRow) {
--- a/internal/hosted/register_test.go
+++ b/internal/hosted/register_test.go
@@ -29,6 +29,7 @@
 	if c.onRead == nil {
 		c.onRead = func([]platform.BackendStart) {}
 	}
+	c.onKnown = func() {}
 	r = newRegistration(c)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -249,7 +250,10 @@
 		f.set(true, 0)
 		var read []platform.BackendStart
 		c := f.config()
-		c.onRead = func(starts []platform.BackendStart) { read = starts }
+		c.onRead = func(starts []platform.BackendStart) {
+			require.False(t, r.isRead(), "a report would be believed before the departures are known")
+			read = starts
+		}
 		r, stop = startRegistration(t, c)
 		defer stop()
 		time.Sleep(callTimeout)
