Count no health check as the second report of a server that was leaving

Where other nodes have seen the server leaving before the restart, one heartbeat and a health check sufficed, also one that came before the heartbeat. A wrong health check is what the second heartbeat is to guard against, and without the row of the node two heartbeats may both be late. A second heartbeat is now needed, or three if the row cannot be read. TestRequiredProof has the table.

--- a/internal/hosted/proof.go
+++ b/internal/hosted/proof.go
@@ -10,10 +10,12 @@
 	// proofReport is a heartbeat or a health check.
 	proofReport
 	// proofHealthy is a heartbeat with a health check of the same instance, which a leaving
-	// backend server fails, or as many heartbeats as are not late together.
+	// backend server fails, or proofSeveral.
 	proofHealthy
-	// proofRepeated is a second report after a heartbeat. Health checks may be wrong.
+	// proofRepeated is a second heartbeat. Health checks may be wrong.
 	proofRepeated
+	// proofSeveral is as many heartbeats as are not late together.
+	proofSeveral
 )
 
 // String returns the name of p in the log.
@@ -26,7 +28,9 @@
 	case proofHealthy:
 		return "heartbeat and health"
 	case proofRepeated:
-		return "second report"
+		return "second heartbeat"
+	case proofSeveral:
+		return "several heartbeats"
 	}
 	return "invalid"
 }
@@ -47,8 +51,10 @@
 	switch {
 	case k.firstStart:
 		return proofReport
-	case k.predecessorLeaving:
+	case k.predecessorLeaving && k.rowRead:
 		return proofRepeated
+	case k.predecessorLeaving:
+		return proofSeveral
 	case k.waited, k.joinAttempted && (k.rowRead || k.rowAttempted):
 		if k.rowRead {
 			return proofReport
@@ -76,7 +82,9 @@
 	case proofHealthy:
 		return r.heartbeats > 0 && r.healthy || r.heartbeats > maxLateHeartbeats
 	case proofRepeated:
-		return r.heartbeats > 1 || r.heartbeats > 0 && r.healthy
+		return r.heartbeats > 1
+	case proofSeveral:
+		return r.heartbeats > maxLateHeartbeats
 	}
 	return false
 }
--- a/internal/hosted/proof_test.go
+++ b/internal/hosted/proof_test.go
@@ -23,7 +23,8 @@
 		"store silent":                    {startKnowledge{waited: true}, proofHealthy},
 		"no other node, row read":         {startKnowledge{rowRead: true, waited: true}, proofReport},
 		"leaving before, row read":        {startKnowledge{predecessorLeaving: true, rowRead: true, joinAttempted: true}, proofRepeated},
-		"leaving before, row not read":    {startKnowledge{predecessorLeaving: true, joinAttempted: true, rowAttempted: true, waited: true}, proofRepeated},
+		"leaving before, row not read":    {startKnowledge{predecessorLeaving: true, joinAttempted: true, rowAttempted: true, waited: true}, proofSeveral},
+		"leaving before, just started":    {startKnowledge{predecessorLeaving: true}, proofSeveral},
 		"leaving before the first start?": {startKnowledge{firstStart: true, predecessorLeaving: true}, proofReport},
 	} {
 		require.Equal(t, c.want, c.requiredProof(), name)
@@ -36,10 +37,11 @@
 		{reports{heartbeats: 1}, []proof{proofReport}},
 		{reports{healthy: true}, []proof{proofReport}},
 		{reports{heartbeats: 2}, []proof{proofReport, proofRepeated}},
-		{reports{heartbeats: 1, healthy: true}, []proof{proofReport, proofHealthy, proofRepeated}},
-		{reports{heartbeats: maxLateHeartbeats + 1}, []proof{proofReport, proofHealthy, proofRepeated}},
+		{reports{heartbeats: 1, healthy: true}, []proof{proofReport, proofHealthy}},
+		{reports{heartbeats: 2, healthy: true}, []proof{proofReport, proofHealthy, proofRepeated}},
+		{reports{heartbeats: maxLateHeartbeats + 1}, []proof{proofReport, proofHealthy, proofRepeated, proofSeveral}},
 	} {
-		for _, p := range []proof{proofPending, proofReport, proofHealthy, proofRepeated} {
+		for _, p := range []proof{proofPending, proofReport, proofHealthy, proofRepeated, proofSeveral} {
 			require.Equal(t, slices.Contains(c.sufficient, p), c.suffice(p), "%+v for %s", c.reports, p)
 		}
 	}
