Keep the row of a stopping node for any departed server that still runs

A node that was restarted while its backend server left, and was then stopped as planned, removed its row and with it the departure that it had acknowledged: it looked only at the instance that it knew, and it knew none. After the other processes had been killed, a late heartbeat was believed 3.4 s after the acknowledgement.

The row is now kept while a departed server, whether it was known or not, accepts connections and no other one is in use. Found by reading. The new case of TestHostedLeave failed before and passes now.

--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -68,7 +68,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	n.mu.Lock()
-	continues, departed := n.instance.continues(), n.instance.left || n.instance.draining
+	continues := n.instance.continues()
+	departed := !continues && len(n.instance.departed) > 0 // maybe one that this process never knew
 	n.mu.Unlock()
 	if continues {
 		// The gate is draining, but the backend server is not: the next process of this
--- a/internal/trial/leave_test.go
+++ b/internal/trial/leave_test.go
@@ -38,6 +38,12 @@
 			time.Sleep(500 * time.Millisecond)
 			t.Cleanup(func() { require.NoError(t, n.h.store.SetFaults(inject.Faults{})) })
 		}},
+		"unknown, nodes stopped and killed": {before: func(n *hostedNode) { restart(n) }, after: func(n *hostedNode) {
+			ctx, cancel := context.WithTimeout(t.Context(), hostedGrace)
+			defer cancel()
+			require.NoError(t, n.process.Stop(ctx))
+			restart(n.h.nodes...)
+		}},
 		"all nodes stopped": {after: func(n *hostedNode) {
 			for _, n := range n.h.nodes {
 				ctx, cancel := context.WithTimeout(t.Context(), hostedGrace)
