Repeat a leave message without a start time under its first one

Each repeat of a leave message that bears no start time was recorded as a departure of its own, and written to the store. The bound of four could so displace a departure that was still to be acknowledged, which then counted as kept. A repeat is now recognized, and a displaced departure is refused with 503, so that the server repeats it. TestLeaveOfUnknownInstance checks the repeat.

--- a/internal/hosted/announce.go
+++ b/internal/hosted/announce.go
@@ -84,7 +84,7 @@
 	d, ok := n.instance.departure(id, born)
 	n.mu.Unlock()
 	if !ok {
-		return nil // overtaken by so many later ones that the start is long gone
+		return fault.Newf(fault.PlatformUnavailable, "the departure of %q was displaced by later ones", id)
 	}
 	start := time.Now()
 	err := n.registration.keep(ctx, d)
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -122,12 +122,16 @@
 // Born is 0 if the message did not contain it; the start is then before now.
 func (s *instanceTracker) recordLeave(id mesh.Instance, born int64, now time.Time) bool {
 	departed := platform.BackendStart{Instance: id, Born: born}
-	switch {
-	case born != 0:
-	case id == s.id && s.born != 0:
-		departed.Born = s.born
-	default:
-		departed.Born = now.UnixMilli()
+	if born == 0 {
+		earlier, ok := s.departure(id, 0) // by a message that is repeated
+		switch {
+		case id == s.id && s.born != 0:
+			departed.Born = s.born
+		case ok:
+			departed.Born = earlier.Born
+		default:
+			departed.Born = now.UnixMilli()
+		}
 	}
 	s.recordDeparture(departed)
 	if id != s.id || s.left || born != 0 && born < s.born {
--- a/internal/hosted/instance_test.go
+++ b/internal/hosted/instance_test.go
@@ -89,6 +89,9 @@
 				require.Equal(t, heartbeatNewStart, s.recordHeartbeat(b))
 			}
 			s.recordLeave("a", c.born, now)
+			before := s.departed
+			s.recordLeave("a", c.born, now.Add(time.Second))
+			require.Equal(t, before, s.departed, "the message was repeated")
 			require.Equal(t, heartbeatStale, s.recordHeartbeat(beat("a", 100, 10)))
 			require.False(t, s.recordHealthCheck("a"))
 			require.Equal(t, heartbeatNewStart, s.recordHeartbeat(beat("a", c.later, 1)), "the next start under its id")
