Show why a request is refused in TestHostedRestartBesideLeftServer

The test is listed as failing now and then with 503, without a trace. It now prints the kind of the refusal and the logs of the nodes.

--- a/internal/trial/hosted_test.go
+++ b/internal/trial/hosted_test.go
@@ -302,6 +302,20 @@
 	require.Eventually(h.t, f, d, 20*time.Millisecond, what)
 }
 
+// requireServed sends a request to n and fails the test unless it is served. The logs then
+// show why it was not.
+func (h *hostedMesh) requireServed(n *hostedNode, path string) {
+	h.t.Helper()
+	r := n.send("GET", path)
+	if r.status == http.StatusOK {
+		return
+	}
+	for _, n := range h.nodes {
+		h.t.Logf("%s:\n%s", n.ip, n.process.Tail())
+	}
+	require.Equal(h.t, http.StatusOK, r.status, "request %s to %s: %s", r.id, n.ip, r.kind)
+}
+
 // TestHostedPath guards against failures that only appear across processes on the
 // users' platform: in requests, a configuration change, the drain and leave of a
 // backend server, a node restart beside a running backend server, and a store outage.
@@ -524,7 +538,7 @@
 			a.server.AlwaysWell.Store(true)
 			require.NoError(t, leave(a))
 			for range 20 { // the other nodes learn it
-				require.Equal(t, 200, b.send("GET", "/look/x").status)
+				h.requireServed(b, "/look/x")
 			}
 			require.NoError(t, a.process.Kill())
 			before := len(a.server.Runs())
@@ -535,8 +549,8 @@
 				require.NoError(t, a.sendHeartbeat())
 			}
 			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
-				require.Equal(t, 200, a.send("GET", "/look/x").status)
-				require.Equal(t, 200, c.send("GET", "/look/x").status)
+				h.requireServed(a, "/look/x")
+				h.requireServed(c, "/look/x")
 			}
 			require.Len(t, a.server.Runs(), before, "requests after the restart")
 			a.server.Restart("i-new")
