Spread the requests of TestHostedLeave that are to reach each server

Who gets work then is not what the test guards. It now sends ten requests at a time where it waits for work; the checks on departures are as before.

--- a/internal/trial/leave_test.go
+++ b/internal/trial/leave_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,7 +59,7 @@
 			h := startHostedMesh(t, "look", "look", "look")
 			h.configure("look")
 			a, b := h.nodes[0], h.nodes[1]
-			h.eventually(5*time.Second, func() bool { return a.send("GET", "/look/x").status == 200 && len(a.server.Runs()) > 0 }, "work for the backend server")
+			h.eventually(5*time.Second, func() bool { return a.sendAtOnce("/look/x") && len(a.server.Runs()) > 0 }, "work for the backend server")
 			a.heartbeatsOff.Store(true)
 			late := a.server.NewHeartbeat()
 			a.server.Drain() // health checks fail
@@ -85,9 +87,7 @@
 			a.server.Restart("i-new")
 			before := len(a.server.Runs())
 			a.heartbeatsOff.Store(false)
-			h.eventually(5*time.Second, func() bool {
-				return a.send("GET", "/look/x").status == 200 && len(a.server.Runs()) > before
-			}, "the next backend server gets work")
+			h.eventually(5*time.Second, func() bool { return a.sendAtOnce("/look/x") && len(a.server.Runs()) > before }, "the next backend server gets work")
 		})
 	}
 }
@@ -96,3 +96,21 @@
 	lateHeartbeat = 500 * time.Millisecond // arrival of the late heartbeat after the node is ready
 	leaveDrain    = 500 * time.Millisecond // within which the mesh stops sending requests to a leaving backend server
 )
+
+// sendAtOnce sends several requests to n at a time and reports whether all are served. Of
+// requests that follow one another, a node may send all to the endpoint that was faster
+// before; these are divided among the endpoints of its availability zone.
+func (n *hostedNode) sendAtOnce(path string) bool {
+	const requests = 10
+	var served atomic.Int64
+	var pending sync.WaitGroup
+	for range requests {
+		pending.Go(func() {
+			if n.send("GET", path).status == 200 {
+				served.Add(1)
+			}
+		})
+	}
+	pending.Wait()
+	return served.Load() == requests
+}
