Show requests that a stop cuts off while they wait for a connection

Cause: requests beyond 64 to one gate wait inside the HTTP transport, where neither the gate nor the stop of the node sees them. The end of the node is written into their header before they wait, and the notice of the end waits for a connection of the same pool.

--- /dev/null
+++ b/review/mesh2/endpoint.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is one request that an endpoint began to work on.
+type run struct {
+	id       string
+	endpoint string
+	deadline time.Duration // value of Lavenderrill-Deadline-Ms
+	arrived  time.Time
+	began    time.Time
+	ended    time.Time // zero while it runs
+	dropped  bool      // its connection closed before it had ended
+}
+
+// endpointConfig describes an endpoint.
+type endpointConfig struct {
+	id, service, address, zone string
+	slots, queue               int
+	work                       time.Duration
+	control                    string // address for heartbeats
+}
+
+// endpoint is a backend server. It serves one request at a time on a connection, has slots
+// and a short queue, stops at the deadline that it is given, and drops a request when its
+// connection closes.
+type endpoint struct {
+	endpointConfig
+	born     int64
+	sequence atomic.Int64
+	listener net.Listener
+	slot     chan struct{}
+	waiting  atomic.Int64
+
+	mu   sync.Mutex
+	runs []*run
+}
+
+func newEndpoint(c endpointConfig) (*endpoint, error) {
+	l, err := net.Listen("tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{endpointConfig: c, born: time.Now().UnixMilli(), listener: l, slot: make(chan struct{}, c.slots)}
+	go e.accept()
+	return e, nil
+}
+
+func (e *endpoint) accept() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return // the listener is closed at the end
+		}
+		go e.serve(c)
+	}
+}
+
+// serve serves the requests of one connection.
+func (e *endpoint) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if req.URL.Path == "/healthz" {
+			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nLavenderrill-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.id)
+		} else {
+			err = e.answer(c, r, req)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// answer runs req and writes the response. It returns an error if the connection is closed.
+func (e *endpoint) answer(c net.Conn, r *bufio.Reader, req *http.Request) error {
+	id := req.Header.Get("Lavenderrill-Request-Id")
+	ms, err := strconv.Atoi(req.Header.Get("Lavenderrill-Deadline-Ms"))
+	if err != nil {
+		ms = 60_000
+	}
+	x := &run{id: id, endpoint: e.id, deadline: time.Duration(ms) * time.Millisecond, arrived: time.Now()}
+	if want := req.Header.Get("Lavenderrill-Expect-Instance"); want != "" && want != e.id {
+		return reply(c, id, "421 Misdirected Request", "Lavenderrill-Instance-Id: "+e.id, "")
+	}
+	closed := watchClose(c, r)
+	defer closed.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), x.deadline)
+	defer cancel()
+	if e.waiting.Add(1) > int64(e.slots+e.queue) {
+		e.waiting.Add(-1)
+		return reply(c, id, "503 Service Unavailable", "Lavenderrill-Not-Executed: 1", "")
+	}
+	defer e.waiting.Add(-1)
+	select {
+	case e.slot <- struct{}{}:
+	case <-closed.done:
+		return net.ErrClosed
+	case <-ctx.Done():
+		return reply(c, id, "503 Service Unavailable", "Lavenderrill-Not-Executed: 1", "")
+	}
+	defer func() { <-e.slot }()
+	e.begin(x)
+	work := time.NewTimer(e.work)
+	defer work.Stop()
+	select {
+	case <-work.C:
+		e.end(x, false)
+		return reply(c, id, "200 OK", "Lavenderrill-Response-Signature: "+e.id+"."+id, e.service+" "+id+"\n")
+	case <-ctx.Done():
+		e.end(x, false)
+		return reply(c, id, "504 Gateway Timeout", "Lavenderrill-Response-Signature: "+e.id+"."+id, "")
+	case <-closed.done:
+		e.end(x, true)
+		return net.ErrClosed
+	}
+}
+
+func (e *endpoint) begin(x *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x.began = time.Now()
+	e.runs = append(e.runs, x)
+}
+
+func (e *endpoint) end(x *run, dropped bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x.ended, x.dropped = time.Now(), dropped
+}
+
+// allRuns returns copies of the runs so far.
+func (e *endpoint) allRuns() []run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]run, len(e.runs))
+	for i, x := range e.runs {
+		out[i] = *x
+	}
+	return out
+}
+
+// reply writes a response with one header line beside the id.
+func reply(w io.Writer, id, status, line, body string) error {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %s\r\nLavenderrill-Request-Id: %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, id, line, len(body), body)
+	return err
+}
+
+// closeWatch reports that the peer has closed a connection.
+type closeWatch struct {
+	done    chan struct{}
+	stopped chan struct{}
+	conn    net.Conn
+}
+
+// watchClose reads from c until it closes or stop is called. The peer sends nothing before
+// the response.
+func watchClose(c net.Conn, r *bufio.Reader) *closeWatch {
+	w := &closeWatch{done: make(chan struct{}), stopped: make(chan struct{}), conn: c}
+	go func() {
+		defer close(w.stopped)
+		if _, err := r.Peek(1); err != nil {
+			if e, ok := err.(net.Error); !ok || !e.Timeout() {
+				close(w.done)
+			}
+		}
+	}()
+	return w
+}
+
+func (w *closeWatch) stop() {
+	_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	<-w.stopped
+	_ = w.conn.SetReadDeadline(time.Time{})
+}
+
+// heartbeats sends a heartbeat in each interval until ctx ends.
+func (e *endpoint) heartbeats(ctx context.Context, interval time.Duration) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		_ = e.heartbeat(ctx, "ready") // the node may be down
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (e *endpoint) heartbeat(ctx context.Context, phase string) error {
+	b, err := json.Marshal(map[string]any{
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "capacity": e.slots,
+		"phase": phase, "warmup-left-ms": 0, "sequence": e.sequence.Add(1), "born": e.born,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+e.control+"/v1/instances/"+e.id, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("heartbeat: status %d", resp.StatusCode)
+	}
+	return nil
+}
