Show work for a leaving endpoint after an odd heartbeat

Cause: a start time up to the year 2200 is accepted in a heartbeat. One from another writer counts as a new start of the endpoint that is leaving, and all that the endpoint says itself counts as late.

--- a/review/mesh2/client.go
+++ b/review/mesh2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -59,7 +60,7 @@
 
 // describe says how a connection ended.
 func describe(err error) string {
-	if e, ok := err.(net.Error); ok && e.Timeout() {
+	if e := net.Error(nil); errors.As(err, &e) && e.Timeout() {
 		return "deadline of the client"
 	}
 	return "connection closed"
--- a/review/mesh2/endpoint.go
+++ b/review/mesh2/endpoint.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,8 +46,11 @@
 	slot     chan struct{}
 	waiting  atomic.Int64
 
-	mu   sync.Mutex
-	runs []*run
+	mu       sync.Mutex
+	runs     []*run
+	draining bool
+	gone     bool
+	conns    map[net.Conn]bool
 }
 
 func newEndpoint(c endpointConfig) (*endpoint, error) {
@@ -54,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{endpointConfig: c, born: time.Now().UnixMilli(), listener: l, slot: make(chan struct{}, c.slots)}
+	e := &endpoint{endpointConfig: c, born: time.Now().UnixMilli(), listener: l, slot: make(chan struct{}, c.slots), conns: make(map[net.Conn]bool)}
 	go e.accept()
 	return e, nil
 }
@@ -71,7 +75,15 @@
 
 // serve serves the requests of one connection.
 func (e *endpoint) serve(c net.Conn) {
-	defer c.Close()
+	e.mu.Lock()
+	e.conns[c] = true
+	e.mu.Unlock()
+	defer func() {
+		c.Close()
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+	}()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -82,7 +94,11 @@
 			return
 		}
 		if req.URL.Path == "/healthz" {
-			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nLavenderrill-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.id)
+			status := "200 OK"
+			if e.phase() != "ready" {
+				status = "503 Service Unavailable"
+			}
+			_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nLavenderrill-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", status, e.id)
 		} else {
 			err = e.answer(c, r, req)
 		}
@@ -180,7 +196,7 @@
 	go func() {
 		defer close(w.stopped)
 		if _, err := r.Peek(1); err != nil {
-			if e, ok := err.(net.Error); !ok || !e.Timeout() {
+			if e := net.Error(nil); !errors.As(err, &e) || !e.Timeout() {
 				close(w.done)
 			}
 		}
@@ -199,7 +215,10 @@
 	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
-		_ = e.heartbeat(ctx, "ready") // the node may be down
+		if e.isGone() {
+			return
+		}
+		_ = e.heartbeat(ctx, e.phase()) // the node may be down
 		select {
 		case <-ctx.Done():
 			return
@@ -208,6 +227,43 @@
 	}
 }
 
+func (e *endpoint) isGone() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone
+}
+
+func (e *endpoint) phase() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// exit sends the leave message and ends e at once.
+func (e *endpoint) exit(ctx context.Context) error {
+	err := e.call(ctx, http.MethodDelete, fmt.Appendf(nil, `{"born":%d}`, e.born))
+	e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone = true
+	for c := range e.conns {
+		c.Close()
+	}
+	return err
+}
+
+// leave makes e report that it is draining, and returns the time of the acknowledgement.
+func (e *endpoint) leave(ctx context.Context) (time.Time, error) {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	err := e.heartbeat(ctx, "draining")
+	return time.Now(), err
+}
+
 func (e *endpoint) heartbeat(ctx context.Context, phase string) error {
 	b, err := json.Marshal(map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "capacity": e.slots,
@@ -216,9 +272,14 @@
 	if err != nil {
 		return err
 	}
+	return e.call(ctx, http.MethodPut, b)
+}
+
+// call sends a message about e to its node.
+func (e *endpoint) call(ctx context.Context, method string, b []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+e.control+"/v1/instances/"+e.id, bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.control+"/v1/instances/"+e.id, bytes.NewReader(b))
 	if err != nil {
 		return err
 	}
@@ -228,7 +289,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("heartbeat: status %d", resp.StatusCode)
+		return fmt.Errorf("%s: status %d", method, resp.StatusCode)
 	}
 	return nil
 }
--- a/review/mesh2/main.go
+++ b/review/mesh2/main.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -35,7 +36,7 @@
 }
 
 func execute(name, binary, record string, trouble bool) int {
-	f := map[string]func(*trial) (bool, error){"stop": stopUnderLoad}[name]
+	f := map[string]func(*trial) (bool, error){"stop": stopUnderLoad, "drain": workAfterDrain}[name]
 	if f == nil {
 		fmt.Fprintf(os.Stderr, "mesh2: unknown case %q\n", name)
 		return failed
@@ -45,14 +46,14 @@
 		fmt.Fprintln(os.Stderr, "mesh2:", err)
 		return failed
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }() // a lost record shows by itself
 	dir := os.Getenv("MESH2_DIR")
 	if dir == "" {
 		if dir, err = os.MkdirTemp("", "mesh2"); err != nil {
 			fmt.Fprintln(os.Stderr, "mesh2:", err)
 			return failed
 		}
-		defer os.RemoveAll(dir)
+		defer func() { _ = os.RemoveAll(dir) }()
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
@@ -91,9 +92,15 @@
 // trial is one run of a case.
 type trial struct {
 	*mesh
-	out     io.Writer
 	trouble bool
+
+	mu  sync.Mutex
+	out io.Writer // guarded by mu
 }
 
 // logf writes a line to the record.
-func (t *trial) logf(format string, args ...any) { fmt.Fprintf(t.out, format+"\n", args...) }
+func (t *trial) logf(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, _ = fmt.Fprintf(t.out, format+"\n", args...) // a lost line does not change the verdict
+}
--- a/review/mesh2/mesh.go
+++ b/review/mesh2/mesh.go
@@ -59,8 +59,8 @@
 	return m, nil
 }
 
-// add starts a machine with an endpoint of the given service.
-func (m *mesh) add(zone string, c endpointConfig) (*machine, error) {
+// place starts a machine with an endpoint that sends no heartbeats.
+func (m *mesh) place(zone string, c endpointConfig) (*machine, error) {
 	i := len(m.machines)
 	pid := os.Getpid()
 	x := &machine{m: m, name: fmt.Sprintf("sidecar-%s-%d", zone, i+1), zone: zone, service: c.service,
@@ -76,17 +76,30 @@
 		return nil, err
 	}
 	x.settings = filepath.Join(m.dir, x.name+".yaml")
-	if err := os.WriteFile(x.settings, []byte(x.settingsYAML(true)), 0o600); err != nil {
+	if err := x.rewriteSettings(true); err != nil {
 		return nil, err
 	}
 	m.machines = append(m.machines, x)
 	if err := x.start(); err != nil {
 		return nil, err
 	}
+	return x, nil
+}
+
+// add starts a machine with an endpoint of the given service.
+func (m *mesh) add(zone string, c endpointConfig) (*machine, error) {
+	x, err := m.place(zone, c)
+	if err != nil {
+		return nil, err
+	}
 	go x.endpoint.heartbeats(m.ctx, heartbeatInterval)
 	return x, nil
 }
 
+func (x *machine) rewriteSettings(bootstrap bool) error {
+	return os.WriteFile(x.settings, []byte(x.settingsYAML(bootstrap)), 0o600)
+}
+
 // addr returns the address of port i of x.
 func (x *machine) addr(i int) string { return fmt.Sprintf("%s:%d", x.ip, x.port+i) }
 
@@ -122,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }() // the node has its own descriptor
 	cmd := exec.Command(x.m.binary, "hosted", "--metrics", x.ip+":9464")
 	cmd.Env = append(os.Environ(), "LAVENDERRILL_NODE_FILE="+x.settings)
 	cmd.Stdout, cmd.Stderr = log, log
@@ -175,12 +188,12 @@
 	m.storeSrv.Close()
 }
 
-// awaitReady waits until all nodes are ready and f holds.
-func (m *mesh) awaitReady(d time.Duration, f func() bool) error {
+// awaitReady waits until the nodes of xs are ready and f holds.
+func awaitReady(xs []*machine, d time.Duration, f func() bool) error {
 	end := time.Now().Add(d)
 	for time.Now().Before(end) {
 		ok := true
-		for _, x := range m.machines {
+		for _, x := range xs {
 			ok = ok && x.ready()
 		}
 		if ok && f() {
--- a/review/mesh2/stop.go
+++ b/review/mesh2/stop.go
@@ -44,7 +44,7 @@
 		return false, err
 	}
 	t.store.Put("op", "config", []byte(baleConfig))
-	if err := t.awaitReady(20*time.Second, func() bool {
+	if err := awaitReady(t.machines, 20*time.Second, func() bool {
 		return send(front.outbound(), "GET", baleHost, balePath, 5*time.Second).status == 200
 	}); err != nil {
 		return false, err
