Show a departure that is acknowledged and not acted upon

Cause: a heartbeat with a very large sequence number makes all later ones of the endpoint look late. A late heartbeat that reports draining is recorded and acknowledged, but the gate is not told and stays ready.

--- a/review/mesh2/drain.go
+++ b/review/mesh2/drain.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +16,8 @@
 	shipWork  = 290 * time.Millisecond
 	// oddAfter is the time from the acknowledgement of a departure to the odd heartbeat.
 	oddAfter = time.Second
+	// oddBefore is the time from the odd heartbeat to the departure.
+	oddBefore = 200 * time.Millisecond
 	// servesOn is the time for which the endpoint serves after the acknowledgement. It is
 	// drain-ms and a little longer, at times many seconds.
 	servesOn = 5 * time.Second
@@ -27,13 +30,16 @@
 {"name":"r-ship","route-type":"unsafe","target-latency-ms":800,"priority":1,"match":{"prefix":"/puba11/"},"action":{"service":"sendir","timeout-ms":2500,"attempts":2}}]}],
 "clusters":[{"name":"lotbok","health-path":"/healthz","max-connections":120},{"name":"sendir","health-path":"/healthz","max-connections":120}]}`
 
-// oddHeartbeat sends, as another writer, a heartbeat for the endpoint beside x whose start
-// time is a number too large. It returns the status of the answer.
-func oddHeartbeat(x *machine) (int, error) {
+// oddSequence is the largest number of 64 bits.
+const oddSequence = math.MaxInt64
+
+// oddHeartbeat sends, as another writer, a heartbeat for the endpoint beside x with the given
+// numbers, one of which is too large. It returns the status of the answer.
+func oddHeartbeat(x *machine, sequence, born int64) (int, error) {
 	e := x.endpoint
 	b, err := json.Marshal(map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "capacity": e.slots,
-		"phase": "ready", "warmup-left-ms": 0, "sequence": 1, "born": int64(oddBorn),
+		"phase": "ready", "warmup-left-ms": 0, "sequence": sequence, "born": born,
 	})
 	if err != nil {
 		return 0, err
@@ -51,8 +57,21 @@
 	return resp.StatusCode, resp.Body.Close()
 }
 
-// workAfterDrain lets an endpoint leave, and a heartbeat of another writer arrive after that.
+// workAfterDrain lets an endpoint leave, and a heartbeat of another writer with a start time
+// that is too large arrive after that.
 func workAfterDrain(t *trial) (bool, error) {
+	return t.drainWithOddHeartbeat(oddAfter, func(x *machine) (int, error) { return oddHeartbeat(x, 1, oddBorn) })
+}
+
+// drainAfterOdd lets a heartbeat of another writer with a sequence number that is too large
+// arrive, and the endpoint leave after that.
+func drainAfterOdd(t *trial) (bool, error) {
+	return t.drainWithOddHeartbeat(-oddBefore, func(x *machine) (int, error) { return oddHeartbeat(x, oddSequence, x.endpoint.born) })
+}
+
+// drainWithOddHeartbeat lets an endpoint leave, and calls odd at the given time from then,
+// before it if that is negative.
+func (t *trial) drainWithOddHeartbeat(oddAt time.Duration, odd func(*machine) (int, error)) (bool, error) {
 	front, err := t.add("nordur-a", endpointConfig{id: "i-lotbok-1", service: "lotbok", slots: 18, queue: 72, work: shipWork})
 	if err != nil {
 		return false, err
@@ -91,20 +110,32 @@
 		}
 	})
 	time.Sleep(3 * time.Second)
+	sendOdd := func() error {
+		if !t.trouble {
+			return nil
+		}
+		status, err := odd(leaving)
+		t.logf("at %.3f another writer sends a heartbeat for %s with a number that is too large: status %d", time.Since(start).Seconds(), leaving.endpoint.id, status)
+		return err
+	}
+	if oddAt < 0 {
+		if err := sendOdd(); err != nil {
+			return false, err
+		}
+		time.Sleep(-oddAt)
+	}
 	acked, err := leaving.endpoint.leave(ctx)
 	if err != nil {
 		return false, err
 	}
 	t.logf("at %.3f the node acknowledges that %s is draining", acked.Sub(start).Seconds(), leaving.endpoint.id)
-	time.Sleep(oddAfter)
-	if t.trouble {
-		status, err := oddHeartbeat(leaving)
-		if err != nil {
+	if oddAt > 0 {
+		time.Sleep(oddAt)
+		if err := sendOdd(); err != nil {
 			return false, err
 		}
-		t.logf("at %.3f another writer sends a heartbeat for %s with the start time %d: status %d", time.Since(start).Seconds(), leaving.endpoint.id, int64(oddBorn), status)
 	}
-	time.Sleep(servesOn - oddAfter)
+	time.Sleep(time.Until(acked.Add(servesOn)))
 	if err := leaving.endpoint.exit(ctx); err != nil {
 		t.logf("the leave message of %s fails: %v", leaving.endpoint.id, err)
 	}
