Show gates that exceed their memory by long request ids

Cause: a gate remembers its last 4,096 attempts and its last 4,096 rejections by request id. The ids have no bound but that of the header, and no budget counts them: 124 MiB at ids of 15,900 bytes.

--- a/review/mesh2/client.go
+++ b/review/mesh2/client.go
@@ -27,7 +27,12 @@
 
 // send sends a request on a new connection and waits until its deadline.
 func send(addr, method, host, path string, deadline time.Duration) *request {
-	q := &request{id: fmt.Sprintf("%016x", lastID.Add(1)), deadline: deadline}
+	return sendWithID(addr, method, host, path, deadline, fmt.Sprintf("%016x", lastID.Add(1)))
+}
+
+// sendWithID is send for a request with the given id.
+func sendWithID(addr, method, host, path string, deadline time.Duration, id string) *request {
+	q := &request{id: id, deadline: deadline}
 	defer func() { q.ended = time.Now() }()
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
@@ -37,7 +42,7 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(deadline)) // c is open
 	_, err = fmt.Fprintf(c, "%s %s%s HTTP/1.1\r\nHost: %s\r\nLavenderrill-Request-Id: %s\r\nLavenderrill-Deadline-Ms: %d\r\n\r\n",
-		method, path, q.id, host, q.id, deadline.Milliseconds())
+		method, path, q.id[max(0, len(q.id)-16):], host, q.id, deadline.Milliseconds())
 	q.sent = time.Now()
 	if err != nil {
 		q.how = "not sent"
--- a/review/mesh2/endpoint.go
+++ b/review/mesh2/endpoint.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -49,6 +50,7 @@
 	mu       sync.Mutex
 	runs     []*run
 	draining bool
+	shed     float64 // share of requests that are rejected although there is room
 	gone     bool
 	conns    map[net.Conn]bool
 }
@@ -119,6 +121,9 @@
 	if want := req.Header.Get("Lavenderrill-Expect-Instance"); want != "" && want != e.id {
 		return reply(c, id, "421 Misdirected Request", "Lavenderrill-Instance-Id: "+e.id, "")
 	}
+	if e.sheds() {
+		return reply(c, id, "503 Service Unavailable", "Lavenderrill-Not-Executed: 1", "")
+	}
 	closed := watchClose(c, r)
 	defer closed.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), x.deadline)
@@ -227,6 +232,19 @@
 	}
 }
 
+func (e *endpoint) setShed(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.shed = share
+}
+
+// sheds reports whether the next request is rejected.
+func (e *endpoint) sheds() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return rand.Float64() < e.shed
+}
+
 func (e *endpoint) isGone() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
