Show long requests that a stopping gate admits and cuts off

Cause: a stopping gate estimates the end of a request by the times of its rank, which routes of equal priority and aim share. It admits until its own callers are answered.

--- a/review/mesh2/endpoint.go
+++ b/review/mesh2/endpoint.go
@@ -33,7 +33,8 @@
 	id, service, address, zone string
 	slots, queue               int
 	work                       time.Duration
-	control                    string // address for heartbeats
+	workOf                     func(path string) time.Duration // nil for work
+	control                    string                          // address for heartbeats
 }
 
 // endpoint is a backend server. It serves one request at a time on a connection, has slots
@@ -142,7 +143,11 @@
 	}
 	defer func() { <-e.slot }()
 	e.begin(x)
-	work := time.NewTimer(e.work)
+	d := e.work
+	if e.workOf != nil {
+		d = e.workOf(req.URL.Path)
+	}
+	work := time.NewTimer(d)
 	defer work.Stop()
 	select {
 	case <-work.C:
--- a/review/mesh2/main.go
+++ b/review/mesh2/main.go
@@ -36,7 +36,7 @@
 }
 
 func execute(name, binary, record string, trouble bool) int {
-	f := map[string]func(*trial) (bool, error){"stop": stopUnderLoad, "drain": workAfterDrain, "sequence": drainAfterOdd, "memory": longIDs}[name]
+	f := map[string]func(*trial) (bool, error){"stop": stopUnderLoad, "drain": workAfterDrain, "sequence": drainAfterOdd, "memory": longIDs, "rank": stopAdmitsLong}[name]
 	if f == nil {
 		fmt.Fprintf(os.Stderr, "mesh2: unknown case %q\n", name)
 		return failed
