Show how long requests wait for a connection

Cause: net/http queues requests beyond the connection limit of a host. No metric, log line or trace showed that queue, so that its wait could not be told from a wait at the gate or from a slow backend server.

Change: hop.Exchange has the time until the request had a connection, which the log line of an answer and of a failed attempt show as connection.wait. The gauge caller_awaiting_connection counts the requests that have none yet. TestExchange compares the other fields as before and bounds the new one.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -198,6 +198,7 @@
 	c.counts = newCounts(c.cfg.Metrics)
 	c.zones = newZones(&c.cfg, c.picker)
 	c.cfg.Metrics.Gauge("caller_ejections", func() any { return c.picker.Ejections() })
+	c.cfg.Metrics.Gauge("caller_awaiting_connection", func() any { return c.cfg.Pools.Waiting() })
 	c.cfg.Metrics.Gauge("caller_active", func() any { return c.active.Load() })
 	c.limits.SetNodes(1)
 	c.serve = c.chain()
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -70,7 +70,7 @@
 	ce.Write(zap.String("request", string(q.id)), zap.Int("status", status), zap.String("route", q.route.Name),
 		zap.String("service", string(q.service)), zap.String("endpoint", string(a.endpoint.ID)),
 		zap.Int("attempts", q.attempts), zap.Duration("after", time.Since(q.arrived)),
-		zap.Uint64("version", uint64(q.table.Snapshot().Version)))
+		zap.Uint64("version", uint64(q.table.Snapshot().Version)), zap.Object("connection", a.exchange))
 }
 
 // limitBodyRead limits the time for reading the rest of the body of a refused
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap/zapcore"
 )
@@ -17,6 +18,9 @@
 	Sent     SendStatus
 	Conn     ConnID // 0 if the request had no connection
 	Requests int64  // requests that the connection has carried, this one included
+	// Wait is the time until the request had a connection, or until it failed without
+	// one. It includes the dialing.
+	Wait time.Duration
 	// Early is the number of bytes that arrived on the connection after it was
 	// assigned to the request and before any of the request was written. They
 	// belong to no answer to it.
@@ -31,6 +35,7 @@
 	enc.AddInt64("requests", x.Requests)
 	enc.AddInt64("early", x.Early)
 	enc.AddBool("aborted", x.Aborted)
+	enc.AddDuration("wait", x.Wait)
 	enc.AddString("sent", x.Sent.String())
 	return nil
 }
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -74,7 +74,8 @@
 // Transport sends HTTP/1.1 requests and reports whether those that fail can have
 // reached the peer. It never sends a request twice. It is safe for concurrent use.
 type Transport struct {
-	base *http.Transport
+	base    *http.Transport
+	waiting atomic.Int64 // requests without a connection
 }
 
 // New returns a Transport for c.
@@ -146,7 +147,8 @@
 // The check returns an error if the response does not belong to req, which
 // RoundTripChecked returns. No other request is written to the connection before.
 func (t *Transport) RoundTripChecked(ctx context.Context, req *http.Request, check func(*http.Response, Exchange) error) (*http.Response, Exchange, error) {
-	var tracker connTracker
+	tracker := connTracker{began: time.Now(), waiting: &t.waiting}
+	t.waiting.Add(1)
 	defer tracker.release()
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
@@ -179,6 +181,9 @@
 	return resp, x, nil
 }
 
+// Waiting returns the number of requests that wait for a connection.
+func (t *Transport) Waiting() int64 { return t.waiting.Load() }
+
 // CloseIdle closes the connections that carry no request.
 func (t *Transport) CloseIdle() { t.base.CloseIdleConnections() }
 
@@ -190,11 +195,25 @@
 	requests   int64         // requests that conn has carried, this one included
 	early      *atomic.Int64 // bytes received before this request was written
 	multiple   bool          // more than one connection was used
+
+	began   time.Time
+	wait    time.Duration // until the request had a connection
+	waiting *atomic.Int64 // decremented once, at the end of the wait; may be nil
+}
+
+// endWait records that the wait for a connection has ended. t.mu must be held.
+func (t *connTracker) endWait() {
+	if t.waiting == nil {
+		return
+	}
+	t.waiting.Add(-1)
+	t.waiting, t.wait = nil, time.Since(t.began)
 }
 
 func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endWait()
 	c, ok := info.Conn.(*conn)
 	if !ok || t.conn != nil {
 		t.multiple = true
@@ -209,6 +228,7 @@
 func (t *connTracker) release() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endWait()
 	if t.conn != nil {
 		t.conn.judged.Unlock()
 	}
@@ -218,10 +238,11 @@
 func (t *connTracker) exchange() Exchange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endWait()
 	if t.conn == nil {
-		return Exchange{}
+		return Exchange{Wait: t.wait}
 	}
-	return Exchange{Conn: t.conn.id, Requests: t.requests, Early: t.early.Load(), Aborted: t.conn.aborted.Load()}
+	return Exchange{Wait: t.wait, Conn: t.conn.id, Requests: t.requests, Early: t.early.Load(), Aborted: t.conn.aborted.Load()}
 }
 
 func (t *connTracker) hasFaultyFraming() bool {
@@ -266,6 +287,9 @@
 	return p.other
 }
 
+// Waiting returns the number of requests that wait for a connection of either pool.
+func (p *Pools) Waiting() int64 { return p.bulk.Waiting() + p.other.Waiting() }
+
 // CloseIdle closes the connections of both pools that carry no request.
 func (p *Pools) CloseIdle() {
 	p.bulk.CloseIdle()
--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -147,6 +147,8 @@
 		resp, x, err := tr.RoundTrip(t.Context(), req)
 		require.NoError(t, err)
 		resp.Body.Close()
+		require.Less(t, x.Wait, time.Second) // TestWaitForConnection checks its value
+		x.Wait = 0
 		return x
 	}
 	first, second := roundTrip(), roundTrip()
