Queue requests to a gate by rank instead of inside net/http

Without any stop, requests beyond 1.4 times the capacity of a backend server were answered ever later, until the server ran only requests whose time was over, and none was refused.

Cause: hop.Transport gave its limit of 64 connections to a gate to net/http, whose queue for them has no bound and knows neither ranks nor deadlines. The gate, which orders requests by rank, refuses what cannot be served in time and is told of a stop, never saw what waited there. The headers with what is left of the time were written before the wait, and the end notice of a stopping node waited in the same queue until its timeout passed.

Change: the caller side admits requests to the connections of each gate with an admit.Machine of its own. Up to 256 are in flight to a gate, as many as the gate queues of one rank, so that in most cases the gate decides. Beyond that they are ordered by rank and account, wait at most 250 ms, and are refused as not run, so that another gate may take them. Headers are written and times counted after that wait. End notices have a connection of their own. Up to 64 unused connections to a gate are kept, as before.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -29,6 +29,7 @@
 	started  time.Time
 	latency  time.Duration // until the response header
 	exchange hop.Exchange
+	ticket   *connTicket // while a uses a connection, else nil
 
 	resp       *http.Response
 	fault      *fault.Error
@@ -39,6 +40,12 @@
 // has been reported to the picker when try returns; otherwise a.resp must be
 // closed and finish called.
 func (c *Caller) try(ctx context.Context, q *call, a *attempt) {
+	if e := c.queues.acquire(ctx, q, a, c.targetOf(q, a.started)); e != nil {
+		c.refuseUnsent(ctx, q, a, e)
+		return
+	}
+	queued := time.Since(a.started)
+	a.started = a.started.Add(queued) // what is left of the time of q is counted from here
 	var r *bodyReader
 	if q.hasBody {
 		r = q.body.open()
@@ -49,12 +56,13 @@
 	}
 	out := c.outgoing(q, a, r)
 	var mismatch error
-	resp, x, err := c.cfg.Pools.TransportFor(q.route.Policy.Bulk).RoundTripChecked(ctx, out, func(resp *http.Response, _ hop.Exchange) error {
+	resp, x, err := c.pools.TransportFor(q.route.Policy.Bulk).RoundTripChecked(ctx, out, func(resp *http.Response, _ hop.Exchange) error {
 		if got := resp.Header.Get(mesh.RequestHeader); got != string(q.id) {
 			mismatch = fmt.Errorf("response names request %q", got)
 		}
 		return mismatch
 	})
+	x.Wait += queued
 	a.exchange = x
 	a.latency = time.Since(a.started)
 	a.replayable = r == nil || r.seal()
@@ -72,8 +80,23 @@
 	}
 }
 
-// finish reports the outcome of a to the picker and logs an ejection.
+// refuseUnsent records the refusal e of a, which was not sent since this node has too many
+// requests in flight to its gate. This says nothing of the endpoint.
+func (c *Caller) refuseUnsent(ctx context.Context, q *call, a *attempt, e *fault.Error) {
+	a.fault, a.replayable = e, true
+	a.exchange = hop.Exchange{Sent: hop.NothingSent, Wait: time.Since(a.started)}
+	if e == errConnWaitEnded {
+		c.classifyError(ctx, q, a, hop.NothingSent, e)
+	} else {
+		c.counts.refusedUnsent.Add(string(q.service), 1)
+	}
+	c.finish(q, a, route.Canceled)
+}
+
+// finish gives back the connection of a, reports its outcome to the picker and logs an
+// ejection.
 func (c *Caller) finish(q *call, a *attempt, o route.Outcome) {
+	c.queues.release(a)
 	if c.picker.Done(a.endpoint, o, q.rank(), a.latency, time.Now()) {
 		c.cfg.Log.Info("endpoint ejected",
 			zap.String("endpoint", string(a.endpoint.ID)),
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -93,7 +93,7 @@
 	// that bytes cost nothing.
 	ZoneByteCost time.Duration
 
-	Pools *hop.Pools // connections to gates
+	Hop   hop.Config // connections to gates; the Caller sets their numbers
 	Pacer *hop.Pacer // bounds the rate of bulk responses; nil for no bound
 
 	// Demand learns which requests are nested calls of the backend server next to this
@@ -152,9 +152,6 @@
 	if c.Service == nil {
 		c.Service = func() mesh.Service { return "" }
 	}
-	if c.Pools == nil {
-		c.Pools = hop.NewPools(hop.Config{}, hop.Config{})
-	}
 	return c
 }
 
@@ -173,6 +170,10 @@
 	serve  endpoint.Endpoint
 	server *http.Server
 
+	pools   *hop.Pools     // requests to gates, in the order of queues
+	notices *hop.Transport // end notices to gates
+	queues  *connQueues
+
 	budgets        retry.Budgets
 	throttles      retry.Throttle
 	callerTimeouts callerTimeouts
@@ -193,12 +194,19 @@
 
 // New returns a Caller for cfg. It has no endpoints until SetMembers is called.
 func New(cfg Config) *Caller {
-	c := &Caller{cfg: cfg.withDefaults(), quotaWake: make(chan struct{}, 1)}
+	c := &Caller{cfg: cfg.withDefaults(), quotaWake: make(chan struct{}, 1), queues: newConnQueues()}
+	conns := c.cfg.Hop
+	conns.MaxConnsPerHost, conns.MaxIdleConnsPerHost = hop.NoLimit, maxIdleGateConns
+	c.pools = hop.NewPools(conns, conns)
+	// A notice must not wait for the requests that it is about.
+	conns.MaxIdleConnsPerHost = 1
+	c.notices = hop.New(conns)
 	c.picker = route.NewPicker(route.PickerConfig{Zone: c.cfg.Zone})
 	c.counts = newCounts(c.cfg.Metrics)
 	c.zones = newZones(&c.cfg, c.picker)
 	c.cfg.Metrics.Gauge("caller_ejections", func() any { return c.picker.Ejections() })
-	c.cfg.Metrics.Gauge("caller_awaiting_connection", func() any { return c.cfg.Pools.Waiting() })
+	c.cfg.Metrics.Gauge("caller_awaiting_connection", func() any { return c.pools.Waiting() })
+	c.cfg.Metrics.Gauge("caller_connection_queue", func() any { return c.queues.waiting() })
 	c.cfg.Metrics.Gauge("caller_active", func() any { return c.active.Load() })
 	c.limits.SetNodes(1)
 	c.serve = c.chain()
@@ -251,6 +259,7 @@
 			}
 		case now := <-sweep.C:
 			c.limits.Sweep(now)
+			c.queues.sweep()
 		}
 	}
 }
--- a/internal/caller/counts.go
+++ b/internal/caller/counts.go
@@ -37,7 +37,8 @@
 	inTime   *expvar.Map // by rank
 	ranks    sync.Map    // mesh.Rank -> *rankCounts
 
-	refusedFull *expvar.Map // because all endpoints are full, by service
+	refusedFull   *expvar.Map // because all endpoints are full, by service
+	refusedUnsent *expvar.Map // because too many requests are in flight to the gate, by service
 }
 
 func newCounts(r *metric.Registry) *counts {
@@ -53,6 +54,7 @@
 		inTime:    r.CounterGroup("caller_in_time"),
 	}
 	k.refusedFull = r.CounterGroup("caller_refused_full")
+	k.refusedUnsent = r.CounterGroup("caller_refused_unsent")
 	r.Gauge("caller_latency", func() any { return k.latencies() })
 	return k
 }
--- a/internal/caller/pending.go
+++ b/internal/caller/pending.go
@@ -89,7 +89,7 @@
 func (c *Caller) sendEndNotice(ctx context.Context, addr mesh.Addr, by time.Time, calls []string) error {
 	left := max(time.Until(by.Add(-stopMargin)), 0)
 	body := strings.NewReader(strings.Join(calls, "\n"))
-	resp, _, err := c.cfg.Pools.TransportFor(false).RoundTrip(ctx, &http.Request{
+	resp, _, err := c.notices.RoundTrip(ctx, &http.Request{
 		Method: http.MethodPost,
 		URL:    &url.URL{Scheme: "http", Host: string(addr), Path: "/"},
 		Header: http.Header{
--- a/internal/caller/retrydelay.go
+++ b/internal/caller/retrydelay.go
@@ -177,6 +177,15 @@
 	return max(target-waited, 0), true
 }
 
+// targetOf returns the latest time of a response to q of full worth, or zero if it is that of
+// the rank.
+func (c *Caller) targetOf(q *call, now time.Time) time.Time {
+	if left, ok := c.targetLeft(q, now); ok {
+		return now.Add(left)
+	}
+	return time.Time{}
+}
+
 // callerTimeout returns the estimated timeout of the caller of q, which has sent a deadline.
 func (c *Caller) callerTimeout(q *call) time.Duration {
 	return max(c.callerTimeouts.estimate(q.route.Name), q.callerDeadline.Sub(q.arrived))
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -129,7 +129,7 @@
 	if e := c.server.Shutdown(end); e != nil && !errors.Is(e, context.DeadlineExceeded) {
 		err = errors.Join(err, e)
 	}
-	c.cfg.Pools.CloseIdle()
+	c.closeIdle()
 	c.cfg.Log.Info(drainedMessage, zap.Int64("interrupted", c.active.Load()))
 	return errors.Join(err, c.server.Close())
 }
@@ -153,7 +153,13 @@
 		}
 	}
 	err := c.server.Shutdown(ctx)
-	c.cfg.Pools.CloseIdle()
+	c.closeIdle()
 	c.cfg.Log.Info(drainedMessage, zap.Error(err))
 	return err
 }
+
+// closeIdle closes the connections to gates that carry no request.
+func (c *Caller) closeIdle() {
+	c.pools.CloseIdle()
+	c.notices.CloseIdle()
+}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -50,6 +50,10 @@
 	return "may-have-run"
 }
 
+// NoLimit as Config.MaxConnsPerHost means that no request waits for a connection of another
+// one. The user of the Transport limits the requests instead.
+const NoLimit = -1
+
 // Defaults of Config.
 const (
 	defaultMaxConns       = 64
@@ -61,7 +65,7 @@
 
 // Config holds the settings of a Transport. Zero fields get defaults.
 type Config struct {
-	MaxConnsPerHost     int           // maximum connections per host; further requests wait
+	MaxConnsPerHost     int           // maximum connections per host, or NoLimit; further requests wait, first come, first served
 	MaxIdleConnsPerHost int           // maximum idle connections per host; MaxConnsPerHost if 0
 	DialTimeout         time.Duration // timeout of one connection attempt
 	IdleTimeout         time.Duration // idle connections are closed after this time
@@ -87,7 +91,7 @@
 		DialContext:            c.dialFunc(),
 		DisableCompression:     true,
 		Protocols:              proto,
-		MaxConnsPerHost:        c.MaxConnsPerHost,
+		MaxConnsPerHost:        max(c.MaxConnsPerHost, 0),
 		MaxIdleConnsPerHost:    c.MaxIdleConnsPerHost,
 		IdleConnTimeout:        c.IdleTimeout,
 		ExpectContinueTimeout:  expectContinueTimeout,
@@ -96,11 +100,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxConnsPerHost <= 0 {
+	if c.MaxConnsPerHost == 0 {
 		c.MaxConnsPerHost = defaultMaxConns
 	}
 	if c.MaxIdleConnsPerHost <= 0 {
 		c.MaxIdleConnsPerHost = c.MaxConnsPerHost
+		if c.MaxConnsPerHost < 0 {
+			c.MaxIdleConnsPerHost = defaultMaxConns
+		}
 	}
 	if c.DialTimeout <= 0 {
 		c.DialTimeout = defaultDialTimeout
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -295,7 +295,6 @@
 
 func (n *Node) newCaller() *caller.Caller {
 	set := n.nodeSettings.Load()
-	pool := hop.Config{DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout}
 	n.quotas = n.newAccountQuotas()
 	return caller.New(caller.Config{
 		ID:           set.ID,
@@ -314,7 +313,7 @@
 		KeepHeaders:  platform.ResponseHeaders,
 		Refuse:       fault.WritePlain,
 		Middleware:   platform.CallerHeaderHandler,
-		Pools:        hop.NewPools(pool, pool),
+		Hop:          hop.Config{DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout},
 		ConnState:    connState(n.listeners["caller"]),
 		Memory:       &n.intake.requests,
 		Pacer:        n.pacer,
--- /dev/null
+++ b/internal/trial/overload_test.go
@@ -0,0 +1,135 @@
+package trial
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/platform/standin"
+)
+
+// overloadTarget is the target latency of the requests of startOverload.
+const overloadTarget = 3 * time.Second
+
+// overload is a mesh of two nodes. Requests enter at the first one, and the only backend
+// server of their service is beside the second one.
+type overload struct {
+	*hostedMesh
+	entry, gate *hostedNode
+	capacity    float64 // requests that the backend server ends per second
+
+	senders   sync.WaitGroup
+	mu        sync.Mutex
+	responses []overloadResponse // guarded by mu
+}
+
+// overloadResponse is a response with the time from its request to its end.
+type overloadResponse struct {
+	response
+	latency time.Duration
+}
+
+func newOverload(t *testing.T) *overload {
+	const (
+		slots = 18
+		work  = 200 * time.Millisecond
+	)
+	h := newHostedMesh(t)
+	h.slowTarget = overloadTarget
+	o := &overload{hostedMesh: h, entry: h.addNode(0, "look"), gate: h.addNode(1, "survey"), capacity: slots / work.Seconds()}
+	h.configure("look", "survey", slowRoute+"survey")
+	o.gate.server.SetFaults(standin.Faults{Slots: slots, Queue: 4 * slots})
+	o.gate.server.SetServiceTime(work)
+	return o
+}
+
+// sendFor sends requests at the given multiple of the capacity for d, without waiting for
+// their responses.
+func (o *overload) sendFor(ctx context.Context, factor float64, d time.Duration) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 12 * time.Second}
+	tick := time.NewTicker(time.Duration(float64(time.Second) / (factor * o.capacity)))
+	defer tick.Stop()
+	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; <-tick.C {
+		o.senders.Go(func() {
+			start := time.Now()
+			r := o.entry.sendWith(client, http.MethodGet, "/"+slowRoute+"survey/")
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.responses = append(o.responses, overloadResponse{r, time.Since(start)})
+		})
+	}
+}
+
+// counts waits for all responses and returns their number by status.
+func (o *overload) counts() map[int]int {
+	o.senders.Wait()
+	n := make(map[int]int)
+	for _, r := range o.responses {
+		n[r.status]++
+	}
+	return n
+}
+
+// TestHostedStopInOverload guards against a stop that closes the connections of requests
+// which wait for a connection to a gate.
+func TestHostedStopInOverload(t *testing.T) {
+	o := newOverload(t)
+	o.sendFor(t.Context(), 2, 4*time.Second)
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), hostedGrace)
+		defer cancel()
+		stopped <- o.entry.process.Stop(ctx)
+	}()
+	o.sendFor(t.Context(), 2, 2*time.Second)
+	require.NoError(t, <-stopped)
+	counts := o.counts()
+	t.Logf("responses by status: %v", counts)
+	runs := o.gate.server.Runs()
+	for _, r := range o.responses {
+		switch r.status {
+		case http.StatusOK:
+		case http.StatusServiceUnavailable:
+			require.Zero(t, runs[r.id], "%s was refused and ran", r.id)
+			require.NotEmpty(t, r.retryAfter)
+		default:
+			t.Errorf("%s: status %d after %v, ran %d times", r.id, r.status, r.latency, runs[r.id])
+		}
+	}
+}
+
+// TestHostedOverload guards against an overload in which the backend server runs requests
+// whose time is over, so that fewer are answered in time than at capacity.
+func TestHostedOverload(t *testing.T) {
+	const (
+		duration   = 6 * time.Second
+		minInTime  = 0.7 // share of what the backend server could end in time
+		refusalMax = overloadTarget / 2
+	)
+	for _, factor := range []float64{2, 4} {
+		o := newOverload(t)
+		o.sendFor(t.Context(), factor, duration)
+		counts := o.counts()
+		inTime := 0
+		for _, r := range o.responses {
+			switch r.status {
+			case http.StatusOK:
+				if r.latency <= overloadTarget {
+					inTime++
+				}
+			case http.StatusServiceUnavailable:
+				if r.latency > refusalMax {
+					t.Errorf("%s was refused after %v", r.id, r.latency)
+				}
+			default:
+				t.Errorf("%s: status %d after %v", r.id, r.status, r.latency)
+			}
+		}
+		t.Logf("%g times the capacity: %d in time, responses by status %v", factor, inTime, counts)
+		require.Greater(t, float64(inTime), minInTime*o.capacity*(duration+overloadTarget).Seconds())
+	}
+}
