Use a response in TestFetch that no connection can hold

Cause: the test leaves a response of 4 MiB unread and relies on the buffers of the connection being smaller. Here a connection that nobody reads takes 4,196,352 bytes (net.ipv4.tcp_wmem allows 4 MiB), so that the response fits and the drain ends at once.

Change: the response has 7 MiB, below the 8 MiB that a gate buffers. What the test checks is the same.

--- a/internal/backend/fetch_test.go
+++ b/internal/backend/fetch_test.go
@@ -33,7 +33,7 @@
 // backend server is done, against a drain that ends before such a download, and
 // against a body truncated by the backend server that looks complete.
 func TestFetch(t *testing.T) {
-	const size = 4 << 20 // exceeds the buffers of a connection
+	const size = 7 << 20 // below maxBufferedBytes; a connection that nobody reads holds 4 MiB and more
 	truncated := false
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", strconv.Itoa(size))
