Give each admitted request a connection to the backend server

A server that announces less than two connections for each slot got a pool smaller than its slots, and admitted requests waited inside net/http: with a slot that they did not use, a deadline that was computed before the wait, and without a check of a departure acknowledged meanwhile.

Change: each pool has a connection for every slot. If two such pools would exceed the announced connections, bulk and other ranks share one.

Deployments with two connections or more for each slot have the same pools as before.

--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -222,16 +222,15 @@
 	}
 }
 
-// newPools returns the connection pools for a. Bulk ranks get at most half of the
-// announced connections. If those are at least two per slot, both pools together
-// stay within them.
+// newPools returns the connection pools for a, which stay within the announced connections
+// together. Each has a connection for every slot, so that no admitted request waits for one.
+// If the connections are less than two per slot, bulk and other ranks share a pool.
 func (g *Gate) newPools(a Announcement) *hop.Pools {
-	bulk := max(1, min(a.Slots, a.Connections/2))
-	other := max(1, min(a.Slots, a.Connections-bulk))
-	poolConfig := func(n int) hop.Config {
-		return hop.Config{MaxConnsPerHost: n, DialTimeout: g.conf.DialTimeout, IdleTimeout: backendIdleTimeout}
+	c := hop.Config{MaxConnsPerHost: a.Slots, DialTimeout: g.conf.DialTimeout, IdleTimeout: backendIdleTimeout}
+	if a.Connections < 2*a.Slots {
+		return hop.NewSharedPool(c)
 	}
-	return hop.NewPools(poolConfig(bulk), poolConfig(other))
+	return hop.NewPools(c, c)
 }
 
 func (g *Gate) closeIdleConnsLocked() {
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -286,6 +286,12 @@
 	return &Pools{bulk: New(bulk), other: New(other)}
 }
 
+// NewSharedPool returns Pools with one transport for all ranks.
+func NewSharedPool(c Config) *Pools {
+	t := New(c)
+	return &Pools{bulk: t, other: t}
+}
+
 // TransportFor returns the transport for bulk ranks or that for the other ranks.
 func (p *Pools) TransportFor(bulk bool) *Transport {
 	if bulk {
@@ -295,7 +301,12 @@
 }
 
 // Waiting returns the number of requests that wait for a connection of either pool.
-func (p *Pools) Waiting() int64 { return p.bulk.Waiting() + p.other.Waiting() }
+func (p *Pools) Waiting() int64 {
+	if p.bulk == p.other {
+		return p.other.Waiting()
+	}
+	return p.bulk.Waiting() + p.other.Waiting()
+}
 
 // CloseIdle closes the connections of both pools that carry no request.
 func (p *Pools) CloseIdle() {
