--- a/internal/caller/both_test.go
+++ b/internal/caller/both_test.go
@@ -27,6 +27,13 @@
 // returns the gate in the form that newTestCaller expects, and the backend
 // server.
 func newRealGate(t testing.TB, id string, reg *metric.Registry, f http.HandlerFunc) (*gate, *httptest.Server) {
+	g, server, _ := newRealGateWith(t, id, reg, 20, f)
+	return g, server
+}
+
+// newRealGateWith is newRealGate with the given number of slots. It also returns what the
+// gate is made of.
+func newRealGateWith(t testing.TB, id string, reg *metric.Registry, slots int, f http.HandlerFunc) (*gate, *httptest.Server, *backend.Gate) {
 	s := testSnapshot()
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
@@ -44,10 +51,10 @@
 	}))
 	t.Cleanup(front.Close)
 	w := httptest.NewRecorder()
-	body := fmt.Sprintf(`{"service":"s","addr":%q,"slots":20,"connections":110,"state":"ready"}`, server.Listener.Addr())
+	body := fmt.Sprintf(`{"service":"s","addr":%q,"slots":%d,"connections":110,"state":"ready"}`, server.Listener.Addr(), slots)
 	g.AnnouncementHandler().ServeHTTP(w, httptest.NewRequest("POST", backend.AnnouncePath, strings.NewReader(body)))
 	require.Equal(t, http.StatusOK, w.Code, w.Body)
-	return &gate{Server: front, id: mesh.NodeID(id)}, server
+	return &gate{Server: front, id: mesh.NodeID(id)}, server, g
 }
 
 // TestBothSides guards against a booking that runs twice, a refusal marked as
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -82,7 +82,7 @@
 	return &config.Snapshot{
 		Version:  7,
 		Accounts: []mesh.ClientAccount{"acc"},
-		Ranks:    []config.RankPolicy{{Name: "urgent", Target: 150 * time.Millisecond}, {Name: "bulk", Target: 10 * time.Second, Bulk: true}},
+		Ranks:    []config.RankPolicy{{Name: "urgent", Target: 150 * time.Millisecond}, {Name: "patient", Target: 20 * time.Second}, {Name: "bulk", Target: 10 * time.Second, Bulk: true}},
 		Services: map[mesh.Service]config.ServicePolicy{"s": {Name: "s", Slots: 20, Connections: 110}},
 		Routes: []config.Route{
 			with("book", "/book", func(r *config.Route) { r.Methods = []string{"POST"} }),
@@ -92,6 +92,7 @@
 			with("hedge", "/hedge", func(r *config.Route) { r.Idempotent, r.Retry.Hedge = true, 20*time.Millisecond }),
 			with("limited", "/limited", func(r *config.Route) { r.Rate = 2 }),
 			with("single", "/single", func(r *config.Route) { r.Idempotent, r.Retry.Attempts = true, 1 }),
+			with("patient", "/patient", func(r *config.Route) { r.Rank = "patient" }),
 			with("guide", "/guide", func(r *config.Route) { r.Idempotent, r.Rank = true, "bulk" }),
 		},
 	}
