--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -214,16 +214,16 @@
 	return config.RankPolicy{}, fmt.Errorf("%s: rank %q is not in %s", c.experiment.Name, name, c.experiment.Mesh.Config)
 }
 
-// callerAddrs returns a function that cycles through the caller addresses of
-// running nodes.
-func (c *cluster) callerAddrs() func() string {
-	return c.cycleAddrs(func(n *trial.Node) string { return n.Addrs().Caller })
+// callerAddrs returns a function that cycles through the caller addresses of those of the
+// last n nodes that run.
+func (c *cluster) callerAddrs(n int) func() string {
+	return cycleAddrs(c.Nodes[len(c.Nodes)-n:], func(n *trial.Node) string { return n.Addrs().Caller })
 }
 
 // serverAddrs returns a function that cycles through the addresses of the
 // backend servers of service s, or of all backend servers if s is empty.
 func (c *cluster) serverAddrs(s mesh.Service) func() string {
-	return c.cycleAddrs(func(n *trial.Node) string {
+	return cycleAddrs(c.Nodes, func(n *trial.Node) string {
 		if srv := n.Server(); srv != nil && (s == "" || n.Spec.Service == s) {
 			return srv.Addr
 		}
@@ -232,13 +232,13 @@
 }
 
 // cycleAddrs returns a function that cycles through the nonempty addresses of
-// nodes whose process runs. It returns "" if there is none. Only the process is
+// those nodes whose process runs. It returns "" if there is none. Only the process is
 // checked, since a caller detects a failed VM by its connection.
-func (c *cluster) cycleAddrs(addr func(*trial.Node) string) func() string {
+func cycleAddrs(nodes []*trial.Node, addr func(*trial.Node) string) func() string {
 	var next atomic.Uint64
 	return func() string {
-		for range c.Nodes {
-			n := c.Nodes[next.Add(1)%uint64(len(c.Nodes))]
+		for range nodes {
+			n := nodes[next.Add(1)%uint64(len(nodes))]
 			if a := addr(n); a != "" && isRunning(n.Process()) {
 				return a
 			}
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -68,6 +68,7 @@
 	CapacityFactor float64       `yaml:"times"`    // rate as a multiple of the capacity of all backend servers
 	Arrivals       string        `yaml:"arrivals"` // poisson (default), constant or burst
 	Burst          int           `yaml:"burst"`    // requests per burst, which start at the same time
+	Entries        int           `yaml:"entries"`  // number of nodes, the last ones, that the requests enter at; all if 0
 	Accounts       int           `yaml:"accounts"` // number of client accounts to rotate over; all if 0
 	ResponseBytes  int           `yaml:"size"`     // size of the response body
 	RequestBytes   int           `yaml:"body"`     // size of the request body
--- a/internal/load/parse.go
+++ b/internal/load/parse.go
@@ -155,7 +155,11 @@
 	}
 	c.expect(e.ResponseBytes >= 0 && e.RequestBytes >= 0 && e.Depth >= 0, field, "size, body and depth must not be negative")
 	c.expect(e.Accounts >= 0 && e.Accounts <= m.Accounts, field+".accounts", "%d is not between 0 and mesh.accounts", e.Accounts)
+	c.expect(e.Entries >= 0 && e.Entries <= m.Nodes, field+".entries", "%d is not between 0 and mesh.nodes", e.Entries)
 	c.expect(e.Timeout >= 0, field+".timeout", "%v is negative", e.Timeout)
+	if e.Entries == 0 {
+		e.Entries = m.Nodes
+	}
 	if e.Accounts == 0 {
 		e.Accounts = m.Accounts
 	}
--- a/internal/load/parse_test.go
+++ b/internal/load/parse_test.go
@@ -54,6 +54,7 @@
 		{"rate: 10", "rate: 10, times: 2", "phases[0].load[0]: want one of rate and times"},
 		{"rate: 10", "times: 1000", "phases[0].load: offers 400000 requests/s, want at most 20000"},
 		{"rate: 10", "rate: 10, via: boat", `phases[0].load[0].via: "boat" is not one of`},
+		{"rate: 10", "rate: 10, entries: 3", "phases[0].load[0].entries: 3 is not between 0 and mesh.nodes"},
 		{"rate: 10", "rate: 10, arrivals: burst", "phases[0].load[0].burst: 0 is not positive"},
 		{"duration: 1s", "duration: 1s, events: [{do: fly}]", `phases[0].events[0].do: "fly" is not one of`},
 		{"duration: 1s", "duration: 1s, edits: {rate: -1}", "phases[0].edits.rate: -1 is not positive"},
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -67,7 +67,7 @@
 			tallies[k] = newTally(e.Rank, e.Via, policy.Target, policy.Worth, p.Duration)
 			ordered = append(ordered, tallies[k])
 		}
-		addrs := c.callerAddrs()
+		addrs := c.callerAddrs(e.Entries)
 		if e.Via != ViaMesh {
 			addrs = c.serverAddrs(e.Service)
 		}
