--- a/internal/trial/overload_test.go
+++ b/internal/trial/overload_test.go
@@ -15,12 +15,14 @@
 // overloadTarget is the target latency of the requests of startOverload.
 const overloadTarget = 3 * time.Second
 
-// overload is a mesh of two nodes. Requests enter at the first one, and the only backend
-// server of their service is beside the second one.
+// overload is a mesh in which requests enter at some nodes, and the only backend server of
+// their service is beside another one.
 type overload struct {
 	*hostedMesh
-	entry, gate *hostedNode
-	capacity    float64 // requests that the backend server ends per second
+	entries  []*hostedNode
+	gate     *hostedNode
+	service  string
+	capacity float64 // requests that the backend server ends per second
 
 	senders   sync.WaitGroup
 	mu        sync.Mutex
@@ -33,21 +35,28 @@
 	latency time.Duration
 }
 
-func newOverload(t *testing.T) *overload {
+func newOverload(t *testing.T, service string, entries int) *overload {
 	const (
 		slots = 18
 		work  = 200 * time.Millisecond
 	)
 	h := newHostedMesh(t)
 	h.slowTarget = overloadTarget
-	o := &overload{hostedMesh: h, entry: h.addNode(0, "look"), gate: h.addNode(1, "survey"), capacity: slots / work.Seconds()}
-	h.configure("look", "survey", slowRoute+"survey")
+	o := &overload{hostedMesh: h, service: service, capacity: slots / work.Seconds()}
+	for i := range entries {
+		o.entries = append(o.entries, h.addNode(i, "look"))
+	}
+	o.gate = h.addNode(entries, service)
+	h.configure(o.services()...)
 	o.gate.server.SetFaults(standin.Faults{Slots: slots, Queue: 4 * slots})
 	o.gate.server.SetServiceTime(work)
 	return o
 }
 
-// sendFor sends requests at the given multiple of the capacity for d, without waiting for
+// services returns the services of the configuration.
+func (o *overload) services() []string { return []string{"look", o.service, slowRoute + o.service} }
+
+// sendFor sends requests to the first entry at the given multiple of the capacity for d, without waiting for
 // their responses.
 func (o *overload) sendFor(ctx context.Context, factor float64, d time.Duration) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 12 * time.Second}
@@ -56,7 +65,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; <-tick.C {
 		o.senders.Go(func() {
 			start := time.Now()
-			r := o.entry.sendWith(client, http.MethodGet, "/"+slowRoute+"survey/")
+			r := o.entries[0].sendWith(client, http.MethodGet, "/"+slowRoute+o.service+"/")
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			o.responses = append(o.responses, overloadResponse{r, time.Since(start)})
@@ -77,13 +86,13 @@
 // TestHostedStopInOverload guards against a stop that closes the connections of requests
 // which wait for a connection to a gate.
 func TestHostedStopInOverload(t *testing.T) {
-	o := newOverload(t)
+	o := newOverload(t, "survey", 1)
 	o.sendFor(t.Context(), 2, 4*time.Second)
 	stopped := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), hostedGrace)
 		defer cancel()
-		stopped <- o.entry.process.Stop(ctx)
+		stopped <- o.entries[0].process.Stop(ctx)
 	}()
 	o.sendFor(t.Context(), 2, 2*time.Second)
 	require.NoError(t, <-stopped)
@@ -111,7 +120,7 @@
 		refusalMax = overloadTarget / 2
 	)
 	for _, factor := range []float64{2, 4} {
-		o := newOverload(t)
+		o := newOverload(t, "survey", 1)
 		o.sendFor(t.Context(), factor, duration)
 		counts := o.counts()
 		inTime := 0
--- a/internal/trial/soak_test.go
+++ b/internal/trial/soak_test.go
@@ -167,7 +167,7 @@
 		s.backendRelays[n] = s.startRelay(n.appAddr, seed)
 		n.appAddr = s.backendRelays[n].Addr()
 	}
-	for i := range soakNodes(t) {
+	for i := range soakNodes(t, defaultSoakNodes) {
 		s.addNode(i, []string{"look", "book"}[i%2]).server.ServiceTimeOf = workOf
 	}
 	s.configure(soakRoutes...)
@@ -216,11 +216,11 @@
 	s.audit(t, seed)
 }
 
-// soakNodes returns LAVENDERRILL_TRIAL_NODES, or defaultSoakNodes if it is not set.
-func soakNodes(t *testing.T) int {
+// soakNodes returns LAVENDERRILL_TRIAL_NODES, or def if it is not set.
+func soakNodes(t *testing.T, def int) int {
 	v := os.Getenv("LAVENDERRILL_TRIAL_NODES")
 	if v == "" {
-		return defaultSoakNodes
+		return def
 	}
 	n, err := strconv.Atoi(v)
 	require.NoError(t, err)
