Refuse requests at a gate before its listener is full

Cause: the listener of a gate accepts connections of other nodes up to a share of its descriptors and leaves further ones to the kernel. Requests on those are neither ordered, refused nor told of a stop until one is accepted. A gate queued up to 256 requests of each rank, whatever its listener accepts, so that an overload could fill it with requests that wait.

Change: at most half as many requests as the listener accepts connections run or wait at a gate. A more urgent request displaces a waiting one of the least urgent rank; others are refused at once, so that their connections take the next requests. With 4,100 descriptors the bound is 820.

Open: connections that many nodes keep unused.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -57,6 +57,10 @@
 	// refused, since their deadline counts from their reading.
 	Paused func() bool
 
+	// MaxRequests returns the number of requests that run or are queued from which no further
+	// one is queued, unless it displaces a less urgent one; nil or 0 for no limit.
+	MaxRequests func() int
+
 	// Pacer limits the rate of bulk responses to other VMs; nil for no limit.
 	Pacer *hop.Pacer
 	// RequestPacer limits the rate of large request bodies from other VMs; nil for no limit.
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -294,6 +294,9 @@
 	}
 	c.endpoint, c.instance = g.endpoint.addr, g.endpoint.instance
 	c.pools, c.bulk = g.endpoint.pools, g.isBulk(c.Rank)
+	if f := g.conf.MaxRequests; f != nil {
+		g.machine.SetMaxTotal(f())
+	}
 	g.wakeDecided(g.machine.Offer(now, &c.Ticket))
 	state := c.State()
 	if state == admit.Admitted {
--- a/internal/core/admit/machine.go
+++ b/internal/core/admit/machine.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
@@ -38,6 +39,7 @@
 	Slots      int                 // announced slots; at least 1
 	Ranks      []config.RankPolicy // most urgent first
 	MaxQueue   int                 // maximum queue length of a rank
+	MaxTotal   int                 // initial value of SetMaxTotal
 	Ramp       time.Duration       // duration of the ramp after a cold start; negative for none
 	Order      Order
 	FixedLimit bool // keep the limit equal to the slots
@@ -73,6 +75,7 @@
 	targetAware         bool
 	maxWait             time.Duration
 	maxQueue            int
+	maxTotal            int
 	ranks               []*rank // most urgent first
 	byName              map[mesh.Rank]*rank
 	nested              *rank // rank of nested calls, nil if there is none
@@ -97,7 +100,7 @@
 	if c.Ramp == 0 {
 		c.Ramp = defaultRamp
 	}
-	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, initialServiceShare: c.InitialServiceShare, fair: c.Fair, targetAware: c.TargetAware, maxWait: c.MaxWait, maxQueue: c.MaxQueue, endBy: noDeadline, lastNonBulk: -bulkHoldoff}
+	m := &Machine{epoch: now, order: c.Order, reserve: c.Reserve, initialServiceShare: c.InitialServiceShare, fair: c.Fair, targetAware: c.TargetAware, maxWait: c.MaxWait, maxQueue: c.MaxQueue, maxTotal: c.MaxTotal, endBy: noDeadline, lastNonBulk: -bulkHoldoff}
 	m.limiter = limiter{fixed: c.FixedLimit, rampDuration: c.Ramp}
 	m.limiter.setSlots(c.Slots)
 	m.SetRanks(now, c.Ranks)
@@ -110,6 +113,10 @@
 // Queued returns the number of waiting requests.
 func (m *Machine) Queued() int { return m.queued }
 
+// SetMaxTotal sets the number of admitted and waiting tickets from which no further one is
+// queued, unless it displaces a less urgent one; 0 means no limit.
+func (m *Machine) SetMaxTotal(n int) { m.maxTotal = n }
+
 // Limit returns the number of requests that may be in flight at now.
 func (m *Machine) Limit(now time.Time) int { return m.limiter.limit(m.at(now)) }
 
@@ -493,6 +500,10 @@
 		t.refuse(errQueueFull)
 		return
 	}
+	if m.maxTotal > 0 && m.inFlight+m.queued >= m.maxTotal && !m.displaceLessUrgent(t) {
+		t.refuse(errQueueFull)
+		return
+	}
 	if r.queue.n == 0 {
 		r.lastAdmission = at
 		r.refill(at, float64(m.limiter.limit(at)))
@@ -530,6 +541,27 @@
 	return true
 }
 
+// displaceLessUrgent makes room for t by refusing a waiting ticket of the least urgent rank
+// below that of t, a late one first. It reports whether there was one.
+func (m *Machine) displaceLessUrgent(t *Ticket) bool {
+	if t.late {
+		return false
+	}
+	for _, r := range slices.Backward(m.ranks) {
+		if r == t.rank {
+			return false
+		}
+		for _, q := range []*queue{&r.lateQueue, &r.queue} {
+			if victim := q.newestOver(0); victim != nil {
+				m.dequeue(victim)
+				m.refuse(victim, errOutranked)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // waitOf returns the expected wait of the new ticket t.
 func (m *Machine) waitOf(at time.Duration, t *Ticket) time.Duration {
 	if m.targetAware {
--- a/internal/core/admit/ticket.go
+++ b/internal/core/admit/ticket.go
@@ -81,6 +81,7 @@
 	errWaitOverDeadline = fault.New(fault.Overloaded, "expected wait exceeds the remaining deadline")
 	errWaitOverTarget   = fault.New(fault.Overloaded, "expected wait exceeds the target of the rank")
 	errDisplaced        = fault.New(fault.Overloaded, "displaced by a client account with less waiting work")
+	errOutranked        = fault.New(fault.Overloaded, "displaced by a more urgent request while all queues together were full")
 	errLateForTarget    = fault.New(fault.Overloaded, "waited too long for the target of the rank")
 	errLateForDeadline  = fault.New(fault.DeadlineExceeded, "too little time was left after the wait")
 	errTargetPassed     = fault.New(fault.Overloaded, "the target had passed, and work that can be in time took all slots")
@@ -96,6 +97,7 @@
 	errWaitOverDeadline: "wait_over_deadline",
 	errWaitOverTarget:   "wait_over_target",
 	errDisplaced:        "displaced",
+	errOutranked:        "outranked",
 	errLateForTarget:    "late_for_target",
 	errLateForDeadline:  "late_for_deadline",
 	errTargetPassed:     "late_without_room",
--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -23,6 +23,10 @@
 	// peerWaitingShare is the share of the descriptors for connections of other nodes that
 	// have not carried a request yet. Nodes send one at once.
 	peerWaitingShare = 0.1
+	// gateRequestShare is the share of the connections of other nodes that requests which run
+	// or are queued at the gate may take. The gate refuses others, which need a connection
+	// only for that, so that none waits to be accepted.
+	gateRequestShare = 0.5
 	// minConns is the least number of connections of any listener.
 	minConns = 16
 	// otherFileShare is the share of the descriptors for each other listener: readiness,
@@ -35,6 +39,7 @@
 	CallerConns      int
 	PeerConns        int
 	PeerWaitingConns int
+	GateRequests     int   // requests that run or are queued at the gate
 	OtherConns       int   // of each other listener
 	HeaderMemory     int64 // in bytes, of headers that callers are sending
 	RequestMemory    int64 // in bytes, of requests of callers in flight
@@ -58,6 +63,7 @@
 	}
 	share := func(s float64) int { return max(int(s*float64(files)), minConns) }
 	l.PeerConns, l.PeerWaitingConns, l.OtherConns = share(peerFileShare), share(peerWaitingShare), share(otherFileShare)
+	l.GateRequests = int(gateRequestShare * float64(l.PeerConns))
 	if n := share(callerFileShare); l.CallerConns == 0 || n < l.CallerConns {
 		l.CallerConns = n
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -235,6 +235,7 @@
 		Lease:            leaseHeartbeats * set.Heartbeat,
 		Demand:           n.demand,
 		Paused:           n.pauses.Recent,
+		MaxRequests:      func() int { return n.limits().GateRequests },
 		Pacer:            n.pacer,
 		RequestPacer:     hop.NewPacer(set.LinkRate),
 		MaxBody:          -1, // the caller listener applies the limit
--- a/internal/trial/overload_test.go
+++ b/internal/trial/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,11 @@
 }
 
 func newOverload(t *testing.T, service string, entries int) *overload {
+	return newLimitedOverload(t, service, entries, 0)
+}
+
+// newLimitedOverload is newOverload with a limit on the descriptors of the gate, or none if 0.
+func newLimitedOverload(t *testing.T, service string, entries, gateFDs int) *overload {
 	const (
 		slots = 18
 		work  = 200 * time.Millisecond
@@ -46,6 +52,7 @@
 	for i := range entries {
 		o.entries = append(o.entries, h.addNode(i, "look"))
 	}
+	h.maxFDs = gateFDs
 	o.gate = h.addNode(entries, service)
 	h.configure(o.services()...)
 	o.gate.server.SetFaults(standin.Faults{Slots: slots, Queue: 4 * slots})
@@ -83,10 +90,19 @@
 	return n
 }
 
+// fewFDs is a limit on the descriptors of a gate that allows it 80 connections of other nodes.
+const fewFDs = 200
+
 // TestHostedStopInOverload guards against a stop that closes the connections of requests
-// which wait for a connection to a gate.
+// which wait for a connection to a gate, or for the gate to accept it.
 func TestHostedStopInOverload(t *testing.T) {
-	o := newOverload(t, "survey", 1)
+	for _, fds := range []int{0, fewFDs} {
+		t.Run(strconv.Itoa(fds), func(t *testing.T) { stopInOverload(newLimitedOverload(t, "survey", 1, fds)) })
+	}
+}
+
+func stopInOverload(o *overload) {
+	t := o.t
 	o.sendFor(t.Context(), 2, 4*time.Second)
 	stopped := make(chan error, 1)
 	go func() {
