--- a/internal/caller/both_test.go
+++ b/internal/caller/both_test.go
@@ -31,8 +31,8 @@
 	return g, server
 }
 
-// newRealGateWith is newRealGate with the given number of slots. It also returns what the
-// gate is made of.
+// newRealGateWith is newRealGate with the given number of slots. It also returns the
+// backend.Gate.
 func newRealGateWith(t testing.TB, id string, reg *metric.Registry, slots int, f http.HandlerFunc) (*gate, *httptest.Server, *backend.Gate) {
 	s := testSnapshot()
 	server := httptest.NewServer(f)
--- a/internal/caller/connqueue.go
+++ b/internal/caller/connqueue.go
@@ -61,46 +61,46 @@
 }
 
 // get returns the queue of k, which remains in use until put is called.
-func (c *connQueues) get(k connQueueKey, now time.Time) *connQueue {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	u := c.queues[k]
-	if u == nil {
-		u = &connQueue{machine: admit.New(admit.Config{
-			Slots: c.limit, MaxQueue: c.limit, MaxWait: maxConnWait, FixedLimit: true, Ramp: -1, TargetAware: true,
+func (qs *connQueues) get(k connQueueKey, now time.Time) *connQueue {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	cq := qs.queues[k]
+	if cq == nil {
+		cq = &connQueue{machine: admit.New(admit.Config{
+			Slots: qs.limit, MaxQueue: qs.limit, MaxWait: maxConnWait, FixedLimit: true, Ramp: -1, TargetAware: true,
 		}, now)}
-		c.queues[k] = u
+		qs.queues[k] = cq
 	}
-	u.users++
-	return u
+	cq.users++
+	return cq
 }
 
-func (c *connQueues) put(u *connQueue) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	u.users--
+func (qs *connQueues) put(cq *connQueue) {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	cq.users--
 }
 
 // sweep removes the queues that are not in use.
-func (c *connQueues) sweep() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for k, u := range c.queues {
-		if u.users == 0 {
-			delete(c.queues, k)
+func (qs *connQueues) sweep() {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	for k, cq := range qs.queues {
+		if cq.users == 0 {
+			delete(qs.queues, k)
 		}
 	}
 }
 
 // waiting returns the number of requests that wait in a queue.
-func (c *connQueues) waiting() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (qs *connQueues) waiting() int {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
 	n := 0
-	for _, u := range c.queues {
-		u.mu.Lock()
-		n += u.machine.Queued()
-		u.mu.Unlock()
+	for _, cq := range qs.queues {
+		cq.mu.Lock()
+		n += cq.machine.Queued()
+		cq.mu.Unlock()
 	}
 	return n
 }
@@ -108,15 +108,15 @@
 // acquire waits until a may be sent. Target is the latest time of a response of full worth,
 // zero for the target of the rank. If it returns nil, release must be called. The refusal
 // of a request whose context ended in the meantime is errConnWaitEnded.
-func (c *connQueues) acquire(ctx context.Context, q *call, a *attempt, target time.Time) *fault.Error {
+func (qs *connQueues) acquire(ctx context.Context, q *call, a *attempt, target time.Time) *fault.Error {
 	now := time.Now()
-	u := c.get(connQueueKey{a.endpoint.Addr, q.route.Policy.Bulk}, now)
-	t := &connTicket{queue: u, Ticket: admit.Ticket{
+	cq := qs.get(connQueueKey{a.endpoint.Addr, q.route.Policy.Bulk}, now)
+	t := &connTicket{queue: cq, Ticket: admit.Ticket{
 		Rank: q.rank(), Account: q.account, Nested: q.origin == originCall, Deadline: q.deadline, Target: target,
 	}}
 	t.Data = t
-	if e := u.acquire(ctx, q, t, now); e != nil {
-		c.put(u)
+	if e := cq.acquire(ctx, q, t, now); e != nil {
+		qs.put(cq)
 		return e
 	}
 	a.ticket = t
@@ -124,7 +124,7 @@
 }
 
 // release ends the use of a connection by a, which was acquired or not.
-func (c *connQueues) release(a *attempt) {
+func (qs *connQueues) release(a *attempt) {
 	t := a.ticket
 	if t == nil {
 		return
@@ -133,7 +133,7 @@
 	t.queue.mu.Lock()
 	t.queue.done(time.Now(), t)
 	t.queue.mu.Unlock()
-	c.put(t.queue)
+	qs.put(t.queue)
 }
 
 // errConnWaitEnded is the refusal of a request whose context ended while it waited for a
@@ -141,17 +141,17 @@
 var errConnWaitEnded = fault.New(fault.Canceled, "the request ended while it waited for a connection")
 
 // acquire offers t and waits for its decision.
-func (u *connQueue) acquire(ctx context.Context, q *call, t *connTicket, now time.Time) *fault.Error {
-	u.mu.Lock()
-	u.applyRanks(q, now)
-	u.wakeDecided(u.machine.Offer(now, &t.Ticket))
+func (cq *connQueue) acquire(ctx context.Context, q *call, t *connTicket, now time.Time) *fault.Error {
+	cq.mu.Lock()
+	cq.applyRanks(q, now)
+	cq.wakeDecided(cq.machine.Offer(now, &t.Ticket))
 	queued := t.State() == admit.Queued
 	if queued {
 		t.decided = make(chan struct{}, 1)
 	}
-	u.mu.Unlock()
+	cq.mu.Unlock()
 	if queued {
-		if e := u.awaitDecision(ctx, t); e != nil {
+		if e := cq.awaitDecision(ctx, t); e != nil {
 			return e
 		}
 	}
@@ -162,7 +162,7 @@
 }
 
 // awaitDecision waits until the queued t is admitted or refused, or until ctx ends.
-func (u *connQueue) awaitDecision(ctx context.Context, t *connTicket) *fault.Error {
+func (cq *connQueue) awaitDecision(ctx context.Context, t *connTicket) *fault.Error {
 	expired := time.NewTimer(maxConnWait)
 	defer expired.Stop()
 	for {
@@ -170,44 +170,44 @@
 		case <-t.decided:
 			return nil
 		case now := <-expired.C:
-			u.mu.Lock()
-			u.wakeDecided(u.machine.Tick(now))
-			u.mu.Unlock()
+			cq.mu.Lock()
+			cq.wakeDecided(cq.machine.Tick(now))
+			cq.mu.Unlock()
 		case <-ctx.Done():
 			now := time.Now()
-			u.mu.Lock()
-			defer u.mu.Unlock()
-			if !u.machine.Cancel(now, &t.Ticket) && t.State() == admit.Admitted {
-				u.done(now, t)
+			cq.mu.Lock()
+			defer cq.mu.Unlock()
+			if !cq.machine.Cancel(now, &t.Ticket) && t.State() == admit.Admitted {
+				cq.done(now, t)
 			}
 			return errConnWaitEnded
 		}
 	}
 }
 
-// done ends the use of a connection by t. u.mu must be held.
-func (u *connQueue) done(now time.Time, t *connTicket) {
-	u.wakeDecided(u.machine.Done(now, &t.Ticket, 0))
+// done ends the use of a connection by t. cq.mu must be held.
+func (cq *connQueue) done(now time.Time, t *connTicket) {
+	cq.wakeDecided(cq.machine.Done(now, &t.Ticket, 0))
 }
 
-// applyRanks applies the ranks of the configuration of q unless it did already. u.mu must be
+// applyRanks applies the ranks of the configuration of q unless it did already. cq.mu must be
 // held.
-func (u *connQueue) applyRanks(q *call, now time.Time) {
+func (cq *connQueue) applyRanks(q *call, now time.Time) {
 	s := q.table.Snapshot()
-	if u.snapshot != nil && u.snapshot.Version >= s.Version {
+	if cq.snapshot != nil && cq.snapshot.Version >= s.Version {
 		return
 	}
-	u.snapshot = s
+	cq.snapshot = s
 	ranks := s.Ranks
 	if s.Placement == config.PlaceByFinish {
 		ranks = admit.WithNested(ranks)
 	}
-	u.machine.SetFair(s.Placement == config.PlaceByFinish && len(s.ClientAccounts) > 0)
-	u.wakeDecided(u.machine.SetRanks(now, ranks))
+	cq.machine.SetFair(s.Placement == config.PlaceByFinish && len(s.ClientAccounts) > 0)
+	cq.wakeDecided(cq.machine.SetRanks(now, ranks))
 }
 
-// wakeDecided wakes the requests that the machine admitted or refused. u.mu must be held.
-func (u *connQueue) wakeDecided(ts []*admit.Ticket) {
+// wakeDecided wakes the requests that the machine admitted or refused. cq.mu must be held.
+func (cq *connQueue) wakeDecided(ts []*admit.Ticket) {
 	for _, t := range ts {
 		t.Data.(*connTicket).decided <- struct{}{}
 	}
--- a/internal/trial/overload_test.go
+++ b/internal/trial/overload_test.go
@@ -13,7 +13,7 @@
 	"lavenderrill.dev/lavenderrill/platform/standin"
 )
 
-// overloadTarget is the target latency of the requests of startOverload.
+// overloadTarget is the target latency of the requests in an overload.
 const overloadTarget = 3 * time.Second
 
 // overload is a mesh in which requests enter at some nodes, and the only backend server of
@@ -63,8 +63,8 @@
 // services returns the services of the configuration.
 func (o *overload) services() []string { return []string{"look", o.service, slowRoute + o.service} }
 
-// sendFor sends requests to the first entry at the given multiple of the capacity for d, without waiting for
-// their responses.
+// sendFor sends requests to the first entry at the given multiple of the capacity for d,
+// without waiting for their responses.
 func (o *overload) sendFor(ctx context.Context, factor float64, d time.Duration) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 12 * time.Second}
 	tick := time.NewTicker(time.Duration(float64(time.Second) / (factor * o.capacity)))
