Bound the requests in flight to a gate by the descriptors of the node

Cause: up to 256 requests in flight to a gate take as many descriptors, whatever the settings allow. A node that is its own gate needs three for each.

Change: at most 0.16 of the descriptors of the settings are requests in flight to one gate, 64 of 400. From 1,600 descriptors on, as in all deployments in force, the bound is 256 as before this commit.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -93,8 +93,11 @@
 	// that bytes cost nothing.
 	ZoneByteCost time.Duration
 
-	Hop   hop.Config // connections to gates; the Caller sets their numbers
-	Pacer *hop.Pacer // bounds the rate of bulk responses; nil for no bound
+	Hop hop.Config // connections to gates; the Caller sets their numbers
+	// MaxGateRequests returns a bound below 256 on the requests in flight to one gate; nil or
+	// 0 for none.
+	MaxGateRequests func() int
+	Pacer           *hop.Pacer // bounds the rate of bulk responses; nil for no bound
 
 	// Demand learns which requests are nested calls of the backend server next to this
 	// node; may be nil. It is used if the configuration places by finish.
@@ -194,7 +197,8 @@
 
 // New returns a Caller for cfg. It has no endpoints until SetMembers is called.
 func New(cfg Config) *Caller {
-	c := &Caller{cfg: cfg.withDefaults(), quotaWake: make(chan struct{}, 1), queues: newConnQueues()}
+	c := &Caller{cfg: cfg.withDefaults(), quotaWake: make(chan struct{}, 1)}
+	c.queues = newConnQueues(c.cfg.MaxGateRequests)
 	conns := c.cfg.Hop
 	conns.MaxConnsPerHost, conns.MaxIdleConnsPerHost = hop.NoLimit, maxIdleGateConns
 	c.pools = hop.NewPools(conns, conns)
--- a/internal/caller/connqueue.go
+++ b/internal/caller/connqueue.go
@@ -27,7 +27,7 @@
 
 // connQueues holds the queue of each gate that got requests lately.
 type connQueues struct {
-	limit int // requests in flight to a gate; maxGateRequests but in tests
+	limit func() int // requests in flight to a gate
 
 	mu     sync.Mutex
 	queues map[connQueueKey]*connQueue
@@ -56,8 +56,18 @@
 	decided chan struct{} // receives one value when the queued ticket is admitted or refused
 }
 
-func newConnQueues() *connQueues {
-	return &connQueues{limit: maxGateRequests, queues: make(map[connQueueKey]*connQueue)}
+// newConnQueues returns queues for maxGateRequests in flight to each gate, or for as many as
+// bound returns if that is less. A nil bound, or a value of 0, means none.
+func newConnQueues(bound func() int) *connQueues {
+	limit := func() int {
+		if bound != nil {
+			if n := bound(); n > 0 {
+				return min(n, maxGateRequests)
+			}
+		}
+		return maxGateRequests
+	}
+	return &connQueues{limit: limit, queues: make(map[connQueueKey]*connQueue)}
 }
 
 // get returns the queue of k, which remains in use until put is called.
@@ -67,7 +77,7 @@
 	cq := qs.queues[k]
 	if cq == nil {
 		cq = &connQueue{machine: admit.New(admit.Config{
-			Slots: qs.limit, MaxQueue: qs.limit, MaxWait: maxConnWait, FixedLimit: true, Ramp: -1, TargetAware: true,
+			Slots: qs.limit(), MaxQueue: maxGateRequests, MaxWait: maxConnWait, FixedLimit: true, Ramp: -1, TargetAware: true,
 		}, now)}
 		qs.queues[k] = cq
 	}
@@ -115,7 +125,7 @@
 		Rank: q.rank(), Account: q.account, Nested: q.origin == originCall, Deadline: q.deadline, Target: target,
 	}}
 	t.Data = t
-	if e := cq.acquire(ctx, q, t, now); e != nil {
+	if e := cq.acquire(ctx, q, t, qs.limit(), now); e != nil {
 		qs.put(cq)
 		return e
 	}
@@ -140,9 +150,10 @@
 // connection.
 var errConnWaitEnded = fault.New(fault.Canceled, "the request ended while it waited for a connection")
 
-// acquire offers t and waits for its decision.
-func (cq *connQueue) acquire(ctx context.Context, q *call, t *connTicket, now time.Time) *fault.Error {
+// acquire offers t and waits for its decision. Limit is the number of requests in flight.
+func (cq *connQueue) acquire(ctx context.Context, q *call, t *connTicket, limit int, now time.Time) *fault.Error {
 	cq.mu.Lock()
+	cq.wakeDecided(cq.machine.SetSlots(now, limit))
 	cq.applyRanks(q, now)
 	cq.wakeDecided(cq.machine.Offer(now, &t.Ticket))
 	queued := t.State() == admit.Queued
--- a/internal/caller/connqueue_test.go
+++ b/internal/caller/connqueue_test.go
@@ -31,8 +31,7 @@
 func newQueueTest(t *testing.T, limit int) *queueTest {
 	s := testSnapshot()
 	s.Ranks = []config.RankPolicy{{Name: "urgent", Target: time.Second}, {Name: "low", Target: 5 * time.Second}}
-	q := &queueTest{t: t, connQueues: newConnQueues(), table: route.NewTable(s)}
-	q.limit = limit
+	q := &queueTest{t: t, connQueues: newConnQueues(func() int { return limit }), table: route.NewTable(s)}
 	return q
 }
 
@@ -81,7 +80,7 @@
 // nothing, and against a wait whose length and memory have no bound.
 func TestConnQueueRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const limit, offered = 4, 100
+		const limit, offered = 4, 2 * maxGateRequests
 		q := newQueueTest(t, limit)
 		for range limit {
 			q.admitted(q.offer(t.Context(), "low"))
@@ -94,7 +93,7 @@
 			atOnce += len(r)
 			results = append(results, r)
 		}
-		require.LessOrEqual(t, q.waiting(), limit)
+		require.LessOrEqual(t, q.waiting(), maxGateRequests)
 		require.Equal(t, offered-q.waiting(), atOnce)
 		for _, r := range results {
 			e := (<-r).refusal
--- a/internal/caller/connwait_test.go
+++ b/internal/caller/connwait_test.go
@@ -35,7 +35,7 @@
 		}
 		time.Sleep(hold)
 	}))
-	b.queues.limit = 1
+	b.queues.limit = func() int { return 1 }
 	var senders sync.WaitGroup
 	for range 2 {
 		senders.Go(func() {
@@ -66,7 +66,7 @@
 		case <-r.Context().Done():
 		}
 	}))
-	b.queues.limit = 1
+	b.queues.limit = func() int { return 1 }
 	answered := make(chan answer, 1)
 	go func() { answered <- b.do("GET", "/read", "") }()
 	require.Eventually(t, func() bool { return len(b.pending.byGate()) == 1 }, time.Second, time.Millisecond)
@@ -129,7 +129,7 @@
 		}
 	})
 	s.gate, s.testCaller = admission, newTestCaller(t, g)
-	s.queues.limit = 2
+	s.queues.limit = func() int { return 2 }
 	ctx, cancel := context.WithCancel(t.Context())
 	s.cancel = cancel
 	t.Cleanup(cancel)
--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -27,6 +27,9 @@
 	// or are queued at the gate may take. The gate refuses others, which need a connection
 	// only for that, so that none waits to be accepted.
 	gateRequestShare = 0.5
+	// gateConnShare is the share of the descriptors for requests in flight to one gate. If that
+	// is the gate of the same node, each takes three: from the caller, to the gate and at it.
+	gateConnShare = 0.16
 	// minConns is the least number of connections of any listener.
 	minConns = 16
 	// otherFileShare is the share of the descriptors for each other listener: readiness,
@@ -40,6 +43,7 @@
 	PeerConns        int
 	PeerWaitingConns int
 	GateRequests     int   // requests that run or are queued at the gate
+	GateConns        int   // requests in flight to one gate
 	OtherConns       int   // of each other listener
 	HeaderMemory     int64 // in bytes, of headers that callers are sending
 	RequestMemory    int64 // in bytes, of requests of callers in flight
@@ -64,6 +68,7 @@
 	share := func(s float64) int { return max(int(s*float64(files)), minConns) }
 	l.PeerConns, l.PeerWaitingConns, l.OtherConns = share(peerFileShare), share(peerWaitingShare), share(otherFileShare)
 	l.GateRequests = int(gateRequestShare * float64(l.PeerConns))
+	l.GateConns = share(gateConnShare)
 	if n := share(callerFileShare); l.CallerConns == 0 || n < l.CallerConns {
 		l.CallerConns = n
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -315,11 +315,13 @@
 		Refuse:       fault.WritePlain,
 		Middleware:   platform.CallerHeaderHandler,
 		Hop:          hop.Config{DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout},
-		ConnState:    connState(n.listeners["caller"]),
-		Memory:       &n.intake.requests,
-		Pacer:        n.pacer,
-		Metrics:      n.metrics,
-		Log:          n.log,
+
+		MaxGateRequests: func() int { return n.limits().GateConns },
+		ConnState:       connState(n.listeners["caller"]),
+		Memory:          &n.intake.requests,
+		Pacer:           n.pacer,
+		Metrics:         n.metrics,
+		Log:             n.log,
 
 		Shares:        n.quotas.limiter,
 		RequestShares: n.quotas.requestNow,
