Bound the connections to a gate, not only the requests in flight

Cause: net/http goes on with the dialing for a request that has ended, and the transport to gates had no bound since requests wait in a queue of the node.

Change: a transport to gates has at most as many connections to each as requests may be in flight to it. A change of the settings replaces it.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -173,7 +173,7 @@
 	serve  endpoint.Endpoint
 	server *http.Server
 
-	pools   *hop.Pools     // requests to gates, in the order of queues
+	pools   gatePools      // requests to gates, in the order of queues
 	notices *hop.Transport // end notices to gates
 	queues  *connQueues
 
@@ -199,17 +199,16 @@
 func New(cfg Config) *Caller {
 	c := &Caller{cfg: cfg.withDefaults(), quotaWake: make(chan struct{}, 1)}
 	c.queues = newConnQueues(c.cfg.MaxGateRequests)
-	conns := c.cfg.Hop
-	conns.MaxConnsPerHost, conns.MaxIdleConnsPerHost = hop.NoLimit, maxIdleGateConns
-	c.pools = hop.NewPools(conns, conns)
+	c.pools.conf = c.cfg.Hop
 	// A notice must not wait for the requests that it is about.
-	conns.MaxIdleConnsPerHost = 1
-	c.notices = hop.New(conns)
+	notices := c.cfg.Hop
+	notices.MaxConnsPerHost, notices.MaxIdleConnsPerHost = hop.NoLimit, 1
+	c.notices = hop.New(notices)
 	c.picker = route.NewPicker(route.PickerConfig{Zone: c.cfg.Zone})
 	c.counts = newCounts(c.cfg.Metrics)
 	c.zones = newZones(&c.cfg, c.picker)
 	c.cfg.Metrics.Gauge("caller_ejections", func() any { return c.picker.Ejections() })
-	c.cfg.Metrics.Gauge("caller_awaiting_connection", func() any { return c.pools.Waiting() })
+	c.cfg.Metrics.Gauge("caller_awaiting_connection", func() any { return c.pools.waiting() })
 	c.cfg.Metrics.Gauge("caller_connection_queue", func() any { return c.queues.waiting() })
 	c.cfg.Metrics.Gauge("caller_active", func() any { return c.active.Load() })
 	c.limits.SetNodes(1)
--- a/internal/caller/connqueue.go
+++ b/internal/caller/connqueue.go
@@ -17,8 +17,6 @@
 	// by rank and refuses what it cannot serve in time. Requests that it does not see escape
 	// these decisions.
 	maxGateRequests = 256
-	// maxIdleGateConns is the number of unused connections to one gate that are kept.
-	maxIdleGateConns = 64
 	// maxConnWait bounds the wait for one of maxGateRequests. A gate that holds so many
 	// without an answer for that long has no capacity or does not respond, so that another
 	// gate or a later retry serves the caller better.
--- a/internal/caller/connwait_test.go
+++ b/internal/caller/connwait_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -100,6 +101,61 @@
 	require.EqualValues(t, others+1, ended.Load())
 }
 
+// TestConnsOfEndedRequests guards against connections to a gate beyond the limit that stay for
+// requests whose clients have left: 64 in flight had 360, of 400 descriptors of the node.
+func TestConnsOfEndedRequests(t *testing.T) {
+	const limit = 2
+	b := newTestCaller(t, newGate(t, "e1", func(http.ResponseWriter, *http.Request) {}))
+	b.queues.limit = func() int { return limit }
+	var dials atomic.Int64
+	proceed := make(chan struct{})
+	b.pools.conf.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials.Add(1)
+		<-proceed
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}
+	for range 5 * limit {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, b.url+"/read", nil)
+		require.NoError(t, err)
+		r.Host = "h.example"
+		_, err = http.DefaultClient.Do(r) //nolint:bodyclose // there is no response
+		cancel()
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Eventually(t, func() bool { return b.active.Load() == 0 }, time.Second, time.Millisecond)
+	}
+	require.EqualValues(t, limit, dials.Load())
+	close(proceed)
+	require.Equal(t, http.StatusOK, b.do("GET", "/read", "").code)
+}
+
+// TestGateConnsReload guards against a number of connections that remains after a change of the
+// settings.
+func TestGateConnsReload(t *testing.T) {
+	var running atomic.Int64
+	proceed := make(chan struct{})
+	b := newTestCaller(t, newGate(t, "e1", func(http.ResponseWriter, *http.Request) {
+		running.Add(1)
+		<-proceed
+	}))
+	var limit atomic.Int64
+	limit.Store(1)
+	b.queues.limit = func() int { return int(limit.Load()) }
+	answers := make(chan answer, 4)
+	send := func(want int64) {
+		go func() { answers <- b.do("GET", "/patient", "") }()
+		require.Eventually(t, func() bool { return running.Load() == want }, time.Second, time.Millisecond)
+	}
+	send(1)
+	limit.Store(3)
+	send(2)
+	send(3)
+	close(proceed)
+	for range 3 {
+		require.Equal(t, http.StatusOK, (<-answers).code)
+	}
+}
+
 // waitScene has a gate whose only slot is taken by the request "running", at which "queued"
 // waits for the slot, while "waiting" waits for one of two connections.
 type waitScene struct {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -160,6 +160,6 @@
 
 // closeIdle closes the connections to gates that carry no request.
 func (c *Caller) closeIdle() {
-	c.pools.CloseIdle()
+	c.pools.closeIdle()
 	c.notices.CloseIdle()
 }
