End responses of other nodes that exceed their limit

The buffer of the connect client doubles when less than 512 bytes are free: a response of 1 MiB takes a buffer of 2 MiB after others of 2 MiB together, 16 MiB for 4 calls if the collector runs late, which leaves nothing for all else. The client also reads a response above its limit until the deadline, even one that declares its length.

Change: a response fails as soon as it exceeds its limit or declares to. The limit is 1 KiB less than 1 MiB, which fits a buffer of 1 MiB.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -24,8 +26,9 @@
 	// maxResponseHeaderBytes limits the header of a response, which has a few short fields.
 	maxResponseHeaderBytes = 64 << 10
 	// maxViewBytes limits the response to a request that is not about a configuration. The
-	// whole view of 2,500 members has about 200 KB.
-	maxViewBytes = 1 << 20
+	// whole view of 2,500 members has about 200 KB. The buffer of the client doubles when less
+	// than 512 bytes of it are free, so that 1 MiB would need one of 2 MiB.
+	maxViewBytes = 1<<20 - 1<<10
 )
 
 // newClient returns the HTTP client for requests to other nodes.
@@ -68,10 +71,31 @@
 }
 
 func (p *Peer) newRPCClient(a mesh.Addr, maxResponseBytes int) peerpbconnect.PeerServiceClient {
-	return peerpbconnect.NewPeerServiceClient(p.client, "http://"+string(a),
+	return peerpbconnect.NewPeerServiceClient(limitingClient{p.client, int64(maxResponseBytes)}, "http://"+string(a),
 		connect.WithReadMaxBytes(maxResponseBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
 }
 
+// limitingClient is a connect.HTTPClient that ends a response of more than max bytes as soon as
+// this is known. Connect reads such a response until its end or the deadline of the request.
+type limitingClient struct {
+	next *http.Client
+	max  int64 // in bytes
+}
+
+// Do implements connect.HTTPClient.
+func (c limitingClient) Do(r *http.Request) (*http.Response, error) {
+	resp, err := c.next.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if resp.ContentLength > c.max {
+		err := fmt.Errorf("response of %d bytes exceeds the limit of %d", resp.ContentLength, c.max)
+		return nil, errors.Join(err, resp.Body.Close())
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, c.max)
+	return resp, nil
+}
+
 // call sends one request to another node with the given timeout and counts it.
 func call[Q, A any](ctx context.Context, p *Peer, kind string, timeout time.Duration,
 	f func(context.Context, *connect.Request[Q]) (*connect.Response[A], error), q *Q) (*A, error) {
--- a/internal/peer/stray_test.go
+++ b/internal/peer/stray_test.go
@@ -95,3 +95,24 @@
 		}
 	}
 }
+
+// TestLargePeerResponse guards against a call that reads a response above the limit until its
+// deadline, although its failure is known before.
+func TestLargePeerResponse(t *testing.T) {
+	const timeout = 5 * time.Second
+	p := startPeer(t, 1, nil)
+	for _, form := range []string{"body of huge length", "chunked body", "body without length", "failure", "failure in chunks"} {
+		t.Run(form, func(t *testing.T) {
+			r := endless.Responses[form]
+			r.Head = strings.Replace(r.Head, "application/json", "application/proto", 1)
+			srv, err := endless.NewServer("127.0.0.1:0", r)
+			require.NoError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			start := time.Now()
+			require.Error(t, p.sync(ctx, mesh.Addr(srv.Addr())))
+			require.Less(t, time.Since(start), timeout/2)
+			require.NoError(t, srv.Close(), "closes once the node has closed its connections")
+		})
+	}
+}
