Close connections to a gate that is half full after each response

Cause: a node keeps up to 64 unused connections to a gate for 30 s. The gate may not close them sooner, since a request could be on its way, and leaves connections above 0.4 of its descriptors to the kernel.

Change: while more than half of the connections that the listener accepts are open, each response ends its connection. Unused ones take at most that half, and the requests that the gate admits or queues have the other one.

Measured: TestHostedUnusedConnections, a gate with 200 descriptors and 30 requests at a time of each of four nodes in turn.

--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -42,8 +42,9 @@
 	CallerConns      int
 	PeerConns        int
 	PeerWaitingConns int
+	PeerKeptConns    int   // open connections of other nodes above which responses close theirs
 	GateRequests     int   // requests that run or are queued at the gate
-	GateConns        int   // requests in flight to one gate
+	GateConns        int   // requests in flight to one gate, and connections to it
 	OtherConns       int   // of each other listener
 	HeaderMemory     int64 // in bytes, of headers that callers are sending
 	RequestMemory    int64 // in bytes, of requests of callers in flight
@@ -68,6 +69,7 @@
 	share := func(s float64) int { return max(int(s*float64(files)), minConns) }
 	l.PeerConns, l.PeerWaitingConns, l.OtherConns = share(peerFileShare), share(peerWaitingShare), share(otherFileShare)
 	l.GateRequests = int(gateRequestShare * float64(l.PeerConns))
+	l.PeerKeptConns = l.PeerConns - l.GateRequests
 	l.GateConns = share(gateConnShare)
 	if n := share(callerFileShare); l.CallerConns == 0 || n < l.CallerConns {
 		l.CallerConns = n
--- a/internal/hosted/limit.go
+++ b/internal/hosted/limit.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// keepPeerConn reports whether a connection of another node may stay open after a response.
+// Unused connections, which are not closed before peerMinIdle, leave room for those of
+// GateRequests that way.
+func (n *Node) keepPeerConn() bool {
+	l, ok := n.listeners["peer"].(*inbound.Listener)
+	limit := n.limits().PeerKeptConns
+	return !ok || limit == 0 || l.Open() <= limit
+}
+
 // limitOther bounds the connections of the listener l for readiness, heartbeats or metrics.
 func (n *Node) limitOther(name string, l net.Listener) net.Listener {
 	return inbound.NewListener(l, inbound.Config{
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -253,6 +253,7 @@
 		Key:               meshKey(set),
 		Listener:          n.listeners["peer"],
 		ConnState:         connState(n.listeners["peer"]),
+		KeepConn:          n.keepPeerConn,
 		MaxHeader:         peerHeaderRead,
 		Packet:            n.packetConn,
 		Gate:              n.peerHandler(),
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -104,6 +104,13 @@
 	return l.served-len(l.conns) >= max(int(closedShare*float64(n)), 1)
 }
 
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.closed.Store(true)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,7 +40,7 @@
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(rpcService{p},
 		connect.WithReadMaxBytes(maxBodyBytes), connect.WithCompressMinBytes(minCompressBytes)))
 	return &http.Server{
-		Handler:           p.dispatch(p.limitRequests(p.authenticate(mux))),
+		Handler:           p.limitConns(p.dispatch(p.limitRequests(p.authenticate(mux)))),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    cmp.Or(p.cfg.MaxHeader, maxHeaderBytes),
@@ -58,6 +58,19 @@
 	}
 }
 
+// limitConns ends the connection of a response unless it may be used again.
+func (p *Peer) limitConns(next http.Handler) http.Handler {
+	if p.cfg.KeepConn == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !p.cfg.KeepConn() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // limitRequests limits the number and the duration of requests between nodes,
 // and counts the bytes of their connections.
 func (p *Peer) limitRequests(next http.Handler) http.Handler {
--- a/internal/trial/overload_test.go
+++ b/internal/trial/overload_test.go
@@ -158,3 +158,30 @@
 		require.Greater(t, float64(inTime), minInTime*o.capacity*(duration+overloadTarget).Seconds())
 	}
 }
+
+// TestHostedUnusedConnections guards against unused connections of some nodes that fill the
+// listener of a gate, so that requests of other nodes wait in the kernel until these time out.
+func TestHostedUnusedConnections(t *testing.T) {
+	const (
+		entries = 4
+		burst   = 30 // requests of an entry at once; the gate accepts 80 connections
+		bound   = 3 * time.Second
+	)
+	o := newLimitedOverload(t, "survey", entries, fewFDs)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 12 * time.Second}
+	for i, e := range o.entries {
+		responses := make(chan overloadResponse, burst)
+		for range burst {
+			go func() {
+				start := time.Now()
+				r := e.sendWith(client, http.MethodGet, "/"+slowRoute+o.service+"/")
+				responses <- overloadResponse{r, time.Since(start)}
+			}()
+		}
+		for range burst {
+			r := <-responses
+			require.Equal(t, http.StatusOK, r.status, "entry %d, after %v", i, r.latency)
+			require.Less(t, r.latency, bound, "entry %d", i)
+		}
+	}
+}
