--- a/internal/hosted/limit.go
+++ b/internal/hosted/limit.go
@@ -78,8 +78,10 @@
 	n.intake.update(n.nodeSettings.Load())
 	n.listeners["caller"] = inbound.NewListener(n.listeners["caller"], inbound.Config{
 		Limits: n.callerConnLimits, Memory: &n.intake.headers, Streams: &n.intake.streams, OnClose: n.countClosed("caller")})
-	n.listeners["peer"] = inbound.NewListener(n.listeners["peer"], inbound.Config{
+	peers := inbound.NewListener(n.listeners["peer"], inbound.Config{
 		Limits: n.peerConnLimits, Hold: true, Memory: &n.intake.peers, OnClose: n.countClosed("peer")})
+	n.metrics.Gauge("peer_connections", func() any { return peers.Open() })
+	n.listeners["peer"] = peers
 	for _, name := range []string{"ready", "announce"} {
 		n.listeners[name] = n.limitOther(name, n.listeners[name])
 	}
