Bound the unused connections to all gates by the descriptors

Cause: a node kept up to 64 unused connections to each gate for 30 s, for any number of gates. A node without descriptors can neither dial nor accept, and its callers wait where no decision sees them.

Change: at most 0.1 of the descriptors are unused connections to gates, of bulk and of other ranks each: 410 of 4,100.

Measured: TestUnusedConns fails without the bound and passes with it.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -56,7 +56,7 @@
 	}
 	out := c.outgoing(q, a, r)
 	var mismatch error
-	resp, x, err := c.pools.transportFor(q.route.Policy.Bulk, c.queues.limit()).RoundTripChecked(ctx, out, func(resp *http.Response, _ hop.Exchange) error {
+	resp, x, err := c.pools.transportFor(q.route.Policy.Bulk, c.connLimits()).RoundTripChecked(ctx, out, func(resp *http.Response, _ hop.Exchange) error {
 		if got := resp.Header.Get(mesh.RequestHeader); got != string(q.id) {
 			mismatch = fmt.Errorf("response names request %q", got)
 		}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -97,7 +97,10 @@
 	// MaxGateRequests returns a bound below 256 on the requests in flight to one gate; nil or
 	// 0 for none.
 	MaxGateRequests func() int
-	Pacer           *hop.Pacer // bounds the rate of bulk responses; nil for no bound
+	// MaxUnusedConns returns a bound on the connections to all gates that carry no request, of
+	// bulk and of other ranks each; nil or 0 for none.
+	MaxUnusedConns func() int
+	Pacer          *hop.Pacer // bounds the rate of bulk responses; nil for no bound
 
 	// Demand learns which requests are nested calls of the backend server next to this
 	// node; may be nil. It is used if the configuration places by finish.
--- a/internal/caller/connwait_test.go
+++ b/internal/caller/connwait_test.go
@@ -129,6 +129,52 @@
 	require.Equal(t, http.StatusOK, b.do("GET", "/read", "").code)
 }
 
+// notifyingConn calls onClose once when it is closed.
+type notifyingConn struct {
+	net.Conn
+	once    sync.Once
+	onClose func()
+}
+
+func (c *notifyingConn) Close() error {
+	c.once.Do(c.onClose)
+	return c.Conn.Close()
+}
+
+// TestUnusedConns guards against unused connections to many gates that together take the
+// descriptors of the node: 8 gates had 240 of 304, with a limit of 200.
+func TestUnusedConns(t *testing.T) {
+	const gates, burst, limit = 3, 10, 4
+	var open, running atomic.Int64
+	proceed := make(chan struct{})
+	var all []*gate
+	for i := range gates {
+		all = append(all, newGate(t, fmt.Sprint("e", i), func(http.ResponseWriter, *http.Request) {
+			running.Add(1)
+			<-proceed
+		}))
+	}
+	b := newTestCaller(t, all...)
+	b.cfg.MaxUnusedConns = func() int { return limit }
+	b.pools.conf.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err == nil {
+			open.Add(1)
+		}
+		return &notifyingConn{Conn: c, onClose: func() { open.Add(-1) }}, err
+	}
+	answers := make(chan answer, gates*burst)
+	for range gates * burst {
+		go func() { answers <- b.do("GET", "/patient", "") }()
+	}
+	require.Eventually(t, func() bool { return running.Load() == gates*burst }, time.Second, time.Millisecond)
+	close(proceed)
+	for range gates * burst {
+		require.Equal(t, http.StatusOK, (<-answers).code)
+	}
+	require.Eventually(t, func() bool { return open.Load() <= limit }, time.Second, time.Millisecond)
+}
+
 // TestGateConnsReload guards against a number of connections that remains after a change of the
 // settings.
 func TestGateConnsReload(t *testing.T) {
--- a/internal/caller/gatepools.go
+++ b/internal/caller/gatepools.go
@@ -15,28 +15,44 @@
 type gatePools struct {
 	conf hop.Config
 
-	mu    sync.Mutex
-	pools *hop.Pools
-	conns int // of pools, to each gate
+	mu     sync.Mutex
+	pools  *hop.Pools
+	limits connLimits // of pools
 }
 
-// transportFor returns the transport for bulk ranks or that for the other ranks, with at most
-// conns connections to a gate. If conns differs from that of the last call, the unused
-// connections of the former transports are closed.
-func (g *gatePools) transportFor(bulk bool, conns int) *hop.Transport {
+// connLimits bound the connections of a transport.
+type connLimits struct {
+	perGate int // to one gate
+	unused  int // to all gates without a request; no limit if 0
+}
+
+// transportFor returns the transport for bulk ranks or that for the other ranks, with the
+// limits l. If l differs from that of the last call, the unused connections of the former
+// transports are closed.
+func (g *gatePools) transportFor(bulk bool, l connLimits) *hop.Transport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pools == nil || g.conns != conns {
+	if g.pools == nil || g.limits != l {
 		if g.pools != nil {
 			g.pools.CloseIdle()
 		}
 		conf := g.conf
-		conf.MaxConnsPerHost, conf.MaxIdleConnsPerHost = conns, min(conns, maxIdleGateConns)
-		g.pools, g.conns = hop.NewPools(conf, conf), conns
+		conf.MaxConnsPerHost, conf.MaxIdleConnsPerHost = l.perGate, min(l.perGate, maxIdleGateConns)
+		conf.MaxIdleConns = l.unused
+		g.pools, g.limits = hop.NewPools(conf, conf), l
 	}
 	return g.pools.TransportFor(bulk)
 }
 
+// connLimits returns the limits in force.
+func (c *Caller) connLimits() connLimits {
+	l := connLimits{perGate: c.queues.limit()}
+	if f := c.cfg.MaxUnusedConns; f != nil {
+		l.unused = f()
+	}
+	return l
+}
+
 // waiting returns the number of requests that wait for a connection.
 func (g *gatePools) waiting() int64 {
 	g.mu.Lock()
--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -30,6 +30,9 @@
 	// gateConnShare is the share of the descriptors for requests in flight to one gate. If that
 	// is the gate of the same node, each takes three: from the caller, to the gate and at it.
 	gateConnShare = 0.16
+	// unusedConnShare is the share of the descriptors for connections to all gates without a
+	// request, of bulk and of other ranks each.
+	unusedConnShare = 0.1
 	// minConns is the least number of connections of any listener.
 	minConns = 16
 	// otherFileShare is the share of the descriptors for each other listener: readiness,
@@ -45,6 +48,7 @@
 	PeerKeptConns    int   // open connections of other nodes above which responses close theirs
 	GateRequests     int   // requests that run or are queued at the gate
 	GateConns        int   // requests in flight to one gate, and connections to it
+	UnusedConns      int   // connections to all gates without a request, of bulk and of other ranks each
 	OtherConns       int   // of each other listener
 	HeaderMemory     int64 // in bytes, of headers that callers are sending
 	RequestMemory    int64 // in bytes, of requests of callers in flight
@@ -70,7 +74,7 @@
 	l.PeerConns, l.PeerWaitingConns, l.OtherConns = share(peerFileShare), share(peerWaitingShare), share(otherFileShare)
 	l.GateRequests = int(gateRequestShare * float64(l.PeerConns))
 	l.PeerKeptConns = l.PeerConns - l.GateRequests
-	l.GateConns = share(gateConnShare)
+	l.GateConns, l.UnusedConns = share(gateConnShare), share(unusedConnShare)
 	if n := share(callerFileShare); l.CallerConns == 0 || n < l.CallerConns {
 		l.CallerConns = n
 	}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -67,6 +67,7 @@
 type Config struct {
 	MaxConnsPerHost     int           // maximum connections per host, or NoLimit; further requests wait, first come, first served
 	MaxIdleConnsPerHost int           // maximum idle connections per host; MaxConnsPerHost if 0
+	MaxIdleConns        int           // maximum idle connections to all hosts; no limit if 0
 	DialTimeout         time.Duration // timeout of one connection attempt
 	IdleTimeout         time.Duration // idle connections are closed after this time
 	MaxHeaderBytes      int64         // largest response header
@@ -93,6 +94,7 @@
 		Protocols:              proto,
 		MaxConnsPerHost:        max(c.MaxConnsPerHost, 0),
 		MaxIdleConnsPerHost:    c.MaxIdleConnsPerHost,
+		MaxIdleConns:           c.MaxIdleConns,
 		IdleConnTimeout:        c.IdleTimeout,
 		ExpectContinueTimeout:  expectContinueTimeout,
 		MaxResponseHeaderBytes: c.MaxHeaderBytes,
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -318,6 +318,7 @@
 		Hop:          hop.Config{DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout},
 
 		MaxGateRequests: func() int { return n.limits().GateConns },
+		MaxUnusedConns:  func() int { return n.limits().UnusedConns },
 		ConnState:       connState(n.listeners["caller"]),
 		Memory:          &n.intake.requests,
 		Pacer:           n.pacer,
