Use the term idle for connections without a request

Cause: the new limits named them unused and kept, where net/http and the rest of the field say idle and keep-alive. TestUnusedConns is TestIdleConns now.

Change: names only.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -94,13 +94,13 @@
 	ZoneByteCost time.Duration
 
 	Hop hop.Config // connections to gates; the Caller sets their numbers
-	// MaxGateRequests returns a bound below 256 on the requests in flight to one gate; nil or
-	// 0 for none.
+	// MaxGateRequests returns a bound below 256 on the requests in flight to one gate, and on
+	// the connections to it; nil or 0 for none.
 	MaxGateRequests func() int
-	// MaxUnusedConns returns a bound on the connections to all gates that carry no request, of
-	// bulk and of other ranks each; nil or 0 for none.
-	MaxUnusedConns func() int
-	Pacer          *hop.Pacer // bounds the rate of bulk responses; nil for no bound
+	// MaxIdleConns returns a bound on the idle connections to all gates, of bulk and of other
+	// ranks each; nil or 0 for none.
+	MaxIdleConns func() int
+	Pacer        *hop.Pacer // bounds the rate of bulk responses; nil for no bound
 
 	// Demand learns which requests are nested calls of the backend server next to this
 	// node; may be nil. It is used if the configuration places by finish.
--- a/internal/caller/connwait_test.go
+++ b/internal/caller/connwait_test.go
@@ -141,9 +141,9 @@
 	return c.Conn.Close()
 }
 
-// TestUnusedConns guards against unused connections to many gates that together take the
+// TestIdleConns guards against idle connections to many gates that together take the
 // descriptors of the node: 8 gates had 240 of 304, with a limit of 200.
-func TestUnusedConns(t *testing.T) {
+func TestIdleConns(t *testing.T) {
 	const gates, burst, limit = 3, 10, 4
 	var open, running atomic.Int64
 	proceed := make(chan struct{})
@@ -155,7 +155,7 @@
 		}))
 	}
 	b := newTestCaller(t, all...)
-	b.cfg.MaxUnusedConns = func() int { return limit }
+	b.cfg.MaxIdleConns = func() int { return limit }
 	b.pools.conf.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := new(net.Dialer).DialContext(ctx, network, addr)
 		if err == nil {
--- a/internal/caller/gatepools.go
+++ b/internal/caller/gatepools.go
@@ -6,7 +6,7 @@
 	"lavenderrill.dev/lavenderrill/internal/hop"
 )
 
-// maxIdleGateConns is the number of unused connections to one gate that are kept.
+// maxIdleGateConns is the largest number of idle connections to one gate.
 const maxIdleGateConns = 64
 
 // gatePools holds the connections to gates. A gate has at most as many as requests may be in
@@ -23,11 +23,20 @@
 // connLimits bound the connections of a transport.
 type connLimits struct {
 	perGate int // to one gate
-	unused  int // to all gates without a request; no limit if 0
+	idle    int // to all gates; no limit if 0
+}
+
+// connLimits returns the limits in force.
+func (c *Caller) connLimits() connLimits {
+	l := connLimits{perGate: c.queues.limit()}
+	if f := c.cfg.MaxIdleConns; f != nil {
+		l.idle = f()
+	}
+	return l
 }
 
 // transportFor returns the transport for bulk ranks or that for the other ranks, with the
-// limits l. If l differs from that of the last call, the unused connections of the former
+// limits l. If l differs from that of the last call, the idle connections of the former
 // transports are closed.
 func (g *gatePools) transportFor(bulk bool, l connLimits) *hop.Transport {
 	g.mu.Lock()
@@ -38,21 +47,12 @@
 		}
 		conf := g.conf
 		conf.MaxConnsPerHost, conf.MaxIdleConnsPerHost = l.perGate, min(l.perGate, maxIdleGateConns)
-		conf.MaxIdleConns = l.unused
+		conf.MaxIdleConns = l.idle
 		g.pools, g.limits = hop.NewPools(conf, conf), l
 	}
 	return g.pools.TransportFor(bulk)
 }
 
-// connLimits returns the limits in force.
-func (c *Caller) connLimits() connLimits {
-	l := connLimits{perGate: c.queues.limit()}
-	if f := c.cfg.MaxUnusedConns; f != nil {
-		l.unused = f()
-	}
-	return l
-}
-
 // waiting returns the number of requests that wait for a connection.
 func (g *gatePools) waiting() int64 {
 	g.mu.Lock()
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -19,8 +19,8 @@
 	require.GreaterOrEqual(t, l.RequestMemory, callers*RequestCost(2<<10, 40, false))
 	require.Greater(t, l.StreamMemory/StreamCost, l.RequestMemory/RequestCost(2<<10, 40, true), "streams are held back before requests are refused")
 	require.Less(t, l.HeaderMemory+l.RequestMemory+l.PeerMemory+20<<10*int64(l.CallerConns), int64(134-28)<<20, "more than a node that serves nobody leaves")
-	require.LessOrEqual(t, l.PeerKeptConns+l.GateRequests, l.PeerConns, "unused connections leave no room for requests at the gate")
-	require.LessOrEqual(t, l.CallerConns+l.PeerConns+2*l.UnusedConns, 4100-200, "unused connections take descriptors of others")
+	require.LessOrEqual(t, l.PeerKeepAlive+l.GateRequests, l.PeerConns, "unused connections leave no room for requests at the gate")
+	require.LessOrEqual(t, l.CallerConns+l.PeerConns+2*l.IdleConns, 4100-200, "unused connections take descriptors of others")
 	require.Zero(t, LimitsFor(0, 0))
 }
 
--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -30,9 +30,9 @@
 	// gateConnShare is the share of the descriptors for requests in flight to one gate. If that
 	// is the gate of the same node, each takes three: from the caller, to the gate and at it.
 	gateConnShare = 0.16
-	// unusedConnShare is the share of the descriptors for connections to all gates without a
-	// request, of bulk and of other ranks each.
-	unusedConnShare = 0.1
+	// idleConnShare is the share of the descriptors for idle connections to all gates, of bulk
+	// and of other ranks each.
+	idleConnShare = 0.1
 	// minConns is the least number of connections of any listener.
 	minConns = 16
 	// otherFileShare is the share of the descriptors for each other listener: readiness,
@@ -40,15 +40,16 @@
 	otherFileShare = 1.0 / 32
 )
 
-// Limits bound what a node accepts. A field that is 0 is no bound.
+// Limits bound what a node accepts and the connections that it opens. A field that is 0 is no
+// bound.
 type Limits struct {
 	CallerConns      int
 	PeerConns        int
 	PeerWaitingConns int
-	PeerKeptConns    int   // open connections of other nodes above which responses close theirs
+	PeerKeepAlive    int   // open connections of other nodes above which responses close theirs
 	GateRequests     int   // requests that run or are queued at the gate
 	GateConns        int   // requests in flight to one gate, and connections to it
-	UnusedConns      int   // connections to all gates without a request, of bulk and of other ranks each
+	IdleConns        int   // idle connections to all gates, of bulk and of other ranks each
 	OtherConns       int   // of each other listener
 	HeaderMemory     int64 // in bytes, of headers that callers are sending
 	RequestMemory    int64 // in bytes, of requests of callers in flight
@@ -73,8 +74,8 @@
 	share := func(s float64) int { return max(int(s*float64(files)), minConns) }
 	l.PeerConns, l.PeerWaitingConns, l.OtherConns = share(peerFileShare), share(peerWaitingShare), share(otherFileShare)
 	l.GateRequests = int(gateRequestShare * float64(l.PeerConns))
-	l.PeerKeptConns = l.PeerConns - l.GateRequests
-	l.GateConns, l.UnusedConns = share(gateConnShare), share(unusedConnShare)
+	l.PeerKeepAlive = l.PeerConns - l.GateRequests
+	l.GateConns, l.IdleConns = share(gateConnShare), share(idleConnShare)
 	if n := share(callerFileShare); l.CallerConns == 0 || n < l.CallerConns {
 		l.CallerConns = n
 	}
--- a/internal/hosted/limit.go
+++ b/internal/hosted/limit.go
@@ -113,12 +113,12 @@
 	}
 }
 
-// keepPeerConn reports whether a connection of another node may stay open after a response.
+// keepPeerAlive reports whether a connection of another node may stay open after a response.
 // Unused connections, which are not closed before peerMinIdle, leave room for those of
 // GateRequests that way.
-func (n *Node) keepPeerConn() bool {
+func (n *Node) keepPeerAlive() bool {
 	l, ok := n.listeners["peer"].(*inbound.Listener)
-	limit := n.limits().PeerKeptConns
+	limit := n.limits().PeerKeepAlive
 	return !ok || limit == 0 || l.Open() <= limit
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -253,7 +253,7 @@
 		Key:               meshKey(set),
 		Listener:          n.listeners["peer"],
 		ConnState:         connState(n.listeners["peer"]),
-		KeepConn:          n.keepPeerConn,
+		KeepAlive:         n.keepPeerAlive,
 		MaxHeader:         peerHeaderRead,
 		Packet:            n.packetConn,
 		Gate:              n.peerHandler(),
@@ -318,7 +318,7 @@
 		Hop:          hop.Config{DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout},
 
 		MaxGateRequests: func() int { return n.limits().GateConns },
-		MaxUnusedConns:  func() int { return n.limits().UnusedConns },
+		MaxIdleConns:    func() int { return n.limits().IdleConns },
 		ConnState:       connState(n.listeners["caller"]),
 		Memory:          &n.intake.requests,
 		Pacer:           n.pacer,
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -52,9 +52,9 @@
 	// ConnState is called on every state change of a connection that Listener accepted; may
 	// be nil. See http.Server.ConnState.
 	ConnState func(net.Conn, http.ConnState)
-	// KeepConn reports whether the connection of a new request may be used again after its
+	// KeepAlive reports whether the connection of a new request may be used again after its
 	// response; nil for always.
-	KeepConn  func() bool
+	KeepAlive func() bool
 	MaxHeader int          // size of the header of a request in bytes; the default is 1.1 MB
 	Gate      http.Handler // serves requests forwarded by other nodes; nil responds with 404
 	Platform  Source
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,7 +40,7 @@
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(rpcService{p},
 		connect.WithReadMaxBytes(maxBodyBytes), connect.WithCompressMinBytes(minCompressBytes)))
 	return &http.Server{
-		Handler:           p.limitConns(p.dispatch(p.limitRequests(p.authenticate(mux)))),
+		Handler:           p.limitKeepAlive(p.dispatch(p.limitRequests(p.authenticate(mux)))),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    cmp.Or(p.cfg.MaxHeader, maxHeaderBytes),
@@ -58,13 +58,13 @@
 	}
 }
 
-// limitConns ends the connection of a response unless it may be used again.
-func (p *Peer) limitConns(next http.Handler) http.Handler {
-	if p.cfg.KeepConn == nil {
+// limitKeepAlive ends the connection of a response unless it may be used again.
+func (p *Peer) limitKeepAlive(next http.Handler) http.Handler {
+	if p.cfg.KeepAlive == nil {
 		return next
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !p.cfg.KeepConn() {
+		if !p.cfg.KeepAlive() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
