--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -23,7 +23,8 @@
 	params, policies string
 	play             func(l *lab, trouble bool) (held bool, err error)
 }{
-	"exposure": {exposureParams, exposurePolicy, exposure},
+	"quota-kill": {quotaParams, quotaPolicy, quotaKill},
+	"exposure":   {exposureParams, exposurePolicy, exposure},
 }
 
 func main() {
