Add review case 13: an owner that was suspended grants credit twice

A ledger of quotas has a takeover only when the owners in its own view change. A process that was stopped for 8 s finds the same members, and its pool grew by the time of the pause, while another node acted as the owner. Both give out the burst within one window.

--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -23,8 +23,9 @@
 	params, policies string
 	play             func(l *lab, trouble bool) (held bool, err error)
 }{
-	"quota-kill": {quotaParams, quotaPolicy, quotaKill},
-	"exposure":   {exposureParams, exposurePolicy, exposure},
+	"quota-kill":   {quotaParams, quotaPolicy, quotaKill},
+	"quota-freeze": {quotaParams, quotaPolicy, quotaFreeze},
+	"exposure":     {exposureParams, exposurePolicy, exposure},
 }
 
 func main() {
--- a/review/lab3/quota.go
+++ b/review/lab3/quota.go
@@ -27,10 +27,10 @@
 "clusters":[{"name":"shop","health-path":"/healthz","max-connections":550,"protocol":"h1","tls":false}]}`, rate, burst)
 }
 
-// startQuotaMesh starts eight machines in two zones, and returns once all serve.
-func startQuotaMesh(l *lab, rate, burst int) (*clients, error) {
+// startQuotaMesh starts machines in two zones, and returns once all serve.
+func startQuotaMesh(l *lab, machines, rate, burst int) (*clients, error) {
 	l.store.Put("op", "config", tenantConfig(rate, burst))
-	for i := range 8 {
+	for i := range machines {
 		zone := string(rune('a' + i%2))
 		if _, err := l.add(fmt.Sprintf("sidecar-%s-%d", zone, i/2+1), "z-"+zone, "shop", "v1", true); err != nil {
 			return nil, err
@@ -86,7 +86,7 @@
 // quotaKill kills all processes while a tenant uses its burst.
 func quotaKill(l *lab, trouble bool) (held bool, err error) {
 	const rate, burst = 20, 300
-	c, err := startQuotaMesh(l, rate, burst)
+	c, err := startQuotaMesh(l, 8, rate, burst)
 	if err != nil {
 		return false, err
 	}
@@ -127,3 +127,55 @@
 	<-done
 	return finishQuota(l, c, rate, burst), nil
 }
+
+// quotaFreeze stops the process that keeps the account of a tenant for some seconds, as a
+// machine that is suspended.
+func quotaFreeze(l *lab, trouble bool) (held bool, err error) {
+	const (
+		rate, burst = 90, 400
+		frozen      = 8 * time.Second
+	)
+	c, err := startQuotaMesh(l, 12, rate, burst)
+	if err != nil {
+		return false, err
+	}
+	owner := l.nodes[11] // of the account of tenant-0; it follows from the names
+	var others []*node
+	for _, n := range l.nodes {
+		if n != owner {
+			others = append(others, n)
+		}
+	}
+	for range 2 {
+		time.Sleep(14 * time.Second) // without requests, so that the burst is saved up
+		if err := freezeDuringBurst(l, c, owner, others, frozen, trouble); err != nil {
+			return false, err
+		}
+	}
+	return finishQuota(l, c, rate, burst), nil
+}
+
+// freezeDuringBurst stops the process of owner. From one second before it goes on, the tenant
+// sends more than its limit to the others.
+func freezeDuringBurst(l *lab, c *clients, owner *node, others []*node, frozen time.Duration, trouble bool) error {
+	signal := func(s syscall.Signal, name string) error {
+		if !trouble {
+			return nil
+		}
+		l.record.printf("%s to %s", name, owner.name)
+		return owner.signal(s)
+	}
+	if err := signal(syscall.SIGSTOP, "SIGSTOP"); err != nil {
+		return err
+	}
+	time.Sleep(frozen - time.Second)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.load(others, 600, 7*time.Second, func(*node) bool { return true })
+	}()
+	time.Sleep(time.Second)
+	err := signal(syscall.SIGCONT, "SIGCONT")
+	<-done
+	return err
+}
