Add review case 14: a planned stop cuts off downloads that another node paces

The gate of another machine paces bulk answers at 0.9 of its link's rate. A node that gets SIGTERM lifts its own pacing only, and its notice to the gate changes queued requests only. It interrupts what is in flight 0.8 s before the end of its grace time.

--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -25,6 +25,7 @@
 }{
 	"quota-kill":   {quotaParams, quotaPolicy, quotaKill},
 	"quota-freeze": {quotaParams, quotaPolicy, quotaFreeze},
+	"stop":         {"", "", stopDuringDownloads},
 	"exposure":     {exposureParams, exposurePolicy, exposure},
 }
 
--- a/review/lab3/mesh.go
+++ b/review/lab3/mesh.go
@@ -39,6 +39,7 @@
 	polic  string        // further entries of policies
 	slots  int           // of a backend server
 	work   time.Duration // of a request
+	link   float64       // rate of the link of the next machines, in Mbit/s
 	nodes  []*node
 	ctx    context.Context
 	beats  sync.WaitGroup
@@ -53,7 +54,8 @@
 	port     int
 	settings string
 	service  string
-	backend  string // address of the backend server
+	link     float64 // Mbit/s
+	backend  string  // address of the backend server
 	server   *standin.Server
 
 	mu  sync.Mutex
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{record: r, dir: dir, binary: binary, store: standin.NewStore(1), params: params, polic: policies, ctx: ctx, slots: 18, work: 8 * time.Millisecond}
+	l := &lab{record: r, dir: dir, binary: binary, store: standin.NewStore(1), params: params, polic: policies, ctx: ctx, slots: 18, work: 8 * time.Millisecond, link: 1000}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -88,7 +90,7 @@
 	if n.server, err = standin.NewServer(n.addrOf(3), fmt.Sprintf("i-%s", name), service, l.work); err != nil {
 		return nil, err
 	}
-	n.service, n.backend = service, n.server.Address
+	n.service, n.backend, n.link = service, n.server.Address, l.link
 	n.server.Version = version
 	n.server.SetFaults(l.faults(i))
 	n.settings = filepath.Join(l.dir, name+".yaml")
@@ -162,7 +164,7 @@
   cpu-cores: 1
   memory-mb: 284
   max-fds: 4100
-  link-mbps: 1000.0
+  link-mbps: %.1f
   disk-mb: 0
 heartbeat-interval-ms: %d
 policies: ["base", "drain", "config", "cost", "retry", "recover", "platform"%s]
@@ -172,7 +174,7 @@
 provider:
   address: %q
   form: "table"
-`, n.name, n.ip, n.zone, n.zone, n.addrOf(0), n.addrOf(1), n.addrOf(2), n.port+5, n.port+7, bootstrap, heartbeatInterval.Milliseconds(),
+`, n.name, n.ip, n.zone, n.zone, n.addrOf(0), n.addrOf(1), n.addrOf(2), n.port+5, n.port+7, bootstrap, n.link, heartbeatInterval.Milliseconds(),
 		n.l.polic, n.l.params, n.backend, n.service, n.l.addr), 0o600)
 }
 
