Show how long bodies wait for the link of a VM

No metric and no log line told how long a response waits for the link, how many of its bytes wait, and for which node, so that the causes could not be told apart.

Change: the gauges link_bodies, link_bytes and link_wait for responses and requests; the object "link" (length, sent, wait) in the lines "response interrupted" and "request answered"; a line of the gate for a response that waited for 0.1 s or more. The pacing itself is unchanged.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -52,7 +52,7 @@
 	if g.conf.RequestPacer == nil || small || !g.managesBodies() || fromSameVM(r) {
 		return body
 	}
-	return g.conf.RequestPacer.PaceBody(body)
+	return g.conf.RequestPacer.PaceBody(body, r.ContentLength)
 }
 
 // managesBodies reports whether the configuration in force selects
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -79,7 +79,9 @@
 	defer cancel()
 	body := hop.LimitBody(w, r, g.conf.MaxBody)
 	r = r.WithContext(ctx)
-	r.Body = g.pacedRequestBody(r, body)
+	body = g.pacedRequestBody(r, body)
+	defer hop.ReleaseLink(body) // net/http closes only the body that it has passed
+	r.Body = body
 	if e := g.readBody(w, r, c); e != nil {
 		g.refuse(w, c, e)
 		return
@@ -133,7 +135,7 @@
 		}
 	}
 	if c.bulk && c.AdmitBy.IsZero() && !fromSameVM(r) { // a stopping node sets AdmitBy and cannot wait for a paced response
-		resp.Body = g.conf.Pacer.PaceBody(resp.Body)
+		resp.Body = g.conf.Pacer.PaceBody(resp.Body, resp.ContentLength)
 	}
 	g.writeResponse(w, r, c, resp)
 	return nil
@@ -527,14 +529,22 @@
 	if err := hop.CopyResponse(w, resp); err != nil {
 		g.metrics.aborted.Add(1)
 		g.log.Info("response interrupted", zap.String("request", string(c.id)), zap.String("attempt", c.attempt),
-			zap.Int("status", resp.StatusCode), zap.Object("connection", c.exchange), zap.Error(err))
+			zap.Int("status", resp.StatusCode), zap.Object("connection", c.exchange),
+			hop.LinkField(resp.Body), zap.String("to", r.RemoteAddr), zap.Error(err))
 		hop.Abort(r)
 	}
+	if u, _ := hop.LinkUsageOf(resp.Body); u.Wait >= loggedLinkWait {
+		g.log.Info("response waited for the link", zap.String("request", string(c.id)), zap.String("attempt", c.attempt),
+			zap.String("to", r.RemoteAddr), hop.LinkField(resp.Body))
+	}
 	if c.latency > 0 {
 		g.metrics.serviceTime.record(c.Rank, c.latency)
 	}
 }
 
+// loggedLinkWait is the wait for the link from which a response is logged.
+const loggedLinkWait = 100 * time.Millisecond
+
 // refuse answers c with e.
 func (g *Gate) refuse(w http.ResponseWriter, c *call, e *fault.Error) {
 	g.metrics.recordRefusal(e)
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -70,7 +70,8 @@
 	ce.Write(zap.String("request", string(q.id)), zap.Int("status", status), zap.String("route", q.route.Name),
 		zap.String("service", string(q.service)), zap.String("endpoint", string(a.endpoint.ID)),
 		zap.Int("attempts", q.attempts), zap.Duration("after", time.Since(q.arrived)),
-		zap.Uint64("version", uint64(q.table.Snapshot().Version)), zap.Object("connection", a.exchange))
+		zap.Uint64("version", uint64(q.table.Snapshot().Version)), zap.Object("connection", a.exchange),
+		hop.LinkField(a.resp.Body))
 }
 
 // limitBodyRead limits the time for reading the rest of the body of a refused
@@ -125,7 +126,8 @@
 	if err != nil {
 		c.counts.aborted.Add(1)
 		c.cfg.Log.Info("response interrupted", zap.String("request", string(q.id)),
-			zap.String("endpoint", string(a.endpoint.ID)), zap.Bool("caller_left", q.canceled()), zap.Error(err))
+			zap.String("endpoint", string(a.endpoint.ID)), zap.Bool("caller_left", q.canceled()),
+			hop.LinkField(a.resp.Body), zap.Error(err))
 		hop.Abort(q.in)
 	}
 	hop.CopyTrailer(q.w, resp)
@@ -162,7 +164,7 @@
 	flush := hop.IsStreaming(a.resp)
 	for {
 		if q.route.Policy.Bulk {
-			a.resp.Body = c.cfg.Pacer.PaceBody(a.resp.Body)
+			a.resp.Body = c.cfg.Pacer.PaceBody(a.resp.Body, a.resp.ContentLength)
 		}
 		n, err := hop.CopyBody(q.w, a.resp.Body, flush)
 		res.offset += n
--- a/internal/hop/pace_test.go
+++ b/internal/hop/pace_test.go
@@ -23,7 +23,7 @@
 		ended := make(chan error, 2)
 		for range 2 {
 			go func() {
-				got, err := io.ReadAll(p.PaceBody(io.NopCloser(bytes.NewReader(want))))
+				got, err := io.ReadAll(p.PaceBody(io.NopCloser(bytes.NewReader(want)), int64(len(want))))
 				if err == nil && !bytes.Equal(got, want) {
 					err = io.ErrUnexpectedEOF
 				}
@@ -36,7 +36,7 @@
 		require.InDelta(t, 1/pacedLinkShare, took.Seconds(), 0.1)
 
 		go func() {
-			_, err := io.ReadAll(p.PaceBody(io.NopCloser(bytes.NewReader(want))))
+			_, err := io.ReadAll(p.PaceBody(io.NopCloser(bytes.NewReader(want)), int64(len(want))))
 			ended <- err
 		}()
 		time.Sleep(100 * time.Millisecond)
@@ -46,7 +46,7 @@
 		require.Less(t, time.Since(begin), 100*time.Millisecond, "after the release")
 
 		begin = time.Now()
-		_, err := io.ReadAll(NewPacer(0).PaceBody(io.NopCloser(bytes.NewReader(want))))
+		_, err := io.ReadAll(NewPacer(0).PaceBody(io.NopCloser(bytes.NewReader(want)), int64(len(want))))
 		require.NoError(t, err)
 		require.Equal(t, begin, time.Now())
 	})
@@ -87,7 +87,7 @@
 				go func() {
 					time.Sleep(time.Duration(i) * 100 * time.Millisecond)
 					begin, last := time.Now(), time.Time{}
-					body := p.PaceBody(io.NopCloser(bytes.NewReader(make([]byte, 300_000))))
+					body := p.PaceBody(io.NopCloser(bytes.NewReader(make([]byte, 300_000))), 300_000)
 					part := make([]byte, 32<<10)
 					for {
 						n, err := body.Read(part)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -95,6 +95,7 @@
 	quotas       *accountQuotas
 
 	pacer           *hop.Pacer     // limits the rate of downloads that leave the VM
+	requestPacer    *hop.Pacer     // limits the rate of uploads that reach the VM
 	configTransport *hop.Transport // requests for configurations to other nodes
 	watcherSelector watcherSelector
 	rollouts        *rollouts // nil if the settings do not enable roll-outs
@@ -183,7 +184,8 @@
 		isWatcher:     func() bool { return !n.stopping.Load() && n.peer.Watcher() },
 		joinAttempted: func() <-chan struct{} { return n.peer.JoinAttempted() },
 	})
-	n.pacer = hop.NewPacer(set.LinkRate)
+	n.pacer, n.requestPacer = hop.NewPacer(set.LinkRate), hop.NewPacer(set.LinkRate)
+	n.registerLinkGauges()
 	n.gate = n.newGate()
 	n.rollouts = n.newNodeRollouts()
 	if n.peer, err = n.newPeer(); err != nil {
@@ -237,7 +239,7 @@
 		Paused:           n.pauses.Recent,
 		MaxRequests:      func() int { return n.limits().GateRequests },
 		Pacer:            n.pacer,
-		RequestPacer:     hop.NewPacer(set.LinkRate),
+		RequestPacer:     n.requestPacer,
 		MaxBody:          -1, // the caller listener applies the limit
 		Admission: admit.Config{FixedLimit: true, Ramp: -1, Reserve: true, TargetAware: true, InitialServiceShare: assumedServiceShare,
 			MaxWait: time.Duration(maxQueueWaitShare * float64(set.Grace))},
