Send bodies for a stopping node before it ends

Cause: the gate passed bodies on in equal shares of 0.9 of its link, so that all of them ended last, and asked for the end of the receiving node only when a response began. The notice of that end was used for queued requests alone, did not name requests with a response, and was not repeated when it was lost.

Change: a scheduler, internal/core/link, in place of the limiter. Bodies share the link equally while that suffices for their deadlines. Otherwise the one that ends first is sent first, up to the rate of the link. The end of the node that sent a request belongs to the request and may change in any of its states; it also orders its bodies, uploads included. A node that stops orders its own bodies by its end, in place of removing the limit for all at once. This works because bodies that end one after the other need the link no longer than those that end together, and all but the last are whole early.

TestPacer called RemoveLimit, which no longer exists; it calls StopAt with an end that needs ten times the rate of the link, and its bound is the same.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -47,12 +48,25 @@
 // pacedRequestBody returns body, the body of r, at the rate that keeps the queue of the
 // link of this VM short. A link that is full of uploads holds up heartbeats between nodes
 // and reads of the configuration.
-func (g *Gate) pacedRequestBody(r *http.Request, body io.ReadCloser) io.ReadCloser {
+func (g *Gate) pacedRequestBody(ctx context.Context, c *call, r *http.Request, body io.ReadCloser) io.ReadCloser {
 	small := r.ContentLength >= 0 && r.ContentLength < minPacedBytes
 	if g.conf.RequestPacer == nil || small || !g.managesBodies() || fromSameVM(r) {
 		return body
 	}
-	return g.conf.RequestPacer.PaceBody(body, r.ContentLength)
+	return g.paceBody(ctx, c, g.conf.RequestPacer, body, r.ContentLength)
+}
+
+// paceBody returns body, of the given length, paced by p. Its end is that of c.
+func (g *Gate) paceBody(ctx context.Context, c *call, p *hop.Pacer, body io.ReadCloser, length int64) io.ReadCloser {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	paced := p.PaceBody(ctx, body, hop.Transfer{Length: length, Deadline: c.Deadline})
+	// Nodes of earlier versions that stop only set the time of admission.
+	if end := cmp.Or(c.end(), c.AdmitBy); !end.IsZero() {
+		hop.LimitEnd(paced, end)
+	}
+	c.paced = append(c.paced, paced)
+	return paced
 }
 
 // managesBodies reports whether the configuration in force selects
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -132,6 +132,7 @@
 	snapshot *config.Snapshot // configuration whose rank policies were last applied to machine
 	endpoint backendServer
 	held     []heldSlot // slots of requests without a response
+	active   map[*call]struct{}
 	unserved demand.Unserved
 	stopping bool // Drain was called
 	yielding bool // Yield was called
@@ -148,7 +149,7 @@
 // New returns a Gate without an endpoint.
 func New(c Config) *Gate {
 	c = c.withDefaults()
-	g := &Gate{conf: c, log: c.Log, recentAttempts: newRecent[attempt](), rejections: newRecent[rejection](), idle: make(chan struct{})}
+	g := &Gate{conf: c, log: c.Log, recentAttempts: newRecent[attempt](), rejections: newRecent[rejection](), active: make(map[*call]struct{}), idle: make(chan struct{})}
 	g.machine = admit.New(c.Admission, time.Now())
 	g.metrics = newMetrics(c.Metrics, g)
 	g.claims = newClaims(c, g.metrics)
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -48,6 +48,10 @@
 
 	onNotRun func() // called before a response that reports not run; may be nil
 	turn     turn
+
+	// The fields below are guarded by Gate.mu.
+	senderEnd time.Time       // as notified after the request was sent; zero if it was not
+	paced     []io.ReadCloser // bodies of c that use the link
 }
 
 // HopHandler returns the handler of requests that other nodes forward. They must
@@ -60,6 +64,8 @@
 		return
 	}
 	c, e := g.newCall(r)
+	g.addActive(c)
+	defer g.removeActive(c)
 	// Without this deadline, a caller that stops reading would hold its slot
 	// forever. It is set for every request, since net/http keeps it for the next
 	// request of the connection. The error is ignored, since a test recorder has
@@ -79,7 +85,7 @@
 	defer cancel()
 	body := hop.LimitBody(w, r, g.conf.MaxBody)
 	r = r.WithContext(ctx)
-	body = g.pacedRequestBody(r, body)
+	body = g.pacedRequestBody(ctx, c, r, body)
 	defer hop.ReleaseLink(body) // net/http closes only the body that it has passed
 	r.Body = body
 	if e := g.readBody(w, r, c); e != nil {
@@ -134,8 +140,8 @@
 			g.releaseSlotEarly(c)
 		}
 	}
-	if c.bulk && c.AdmitBy.IsZero() && !fromSameVM(r) { // a stopping node sets AdmitBy and cannot wait for a paced response
-		resp.Body = g.conf.Pacer.PaceBody(resp.Body, resp.ContentLength)
+	if c.bulk && !fromSameVM(r) {
+		resp.Body = g.paceBody(ctx, c, g.conf.Pacer, resp.Body, resp.ContentLength)
 	}
 	g.writeResponse(w, r, c, resp)
 	return nil
@@ -294,6 +300,7 @@
 		g.mu.Unlock()
 		return e
 	}
+	c.EndBy = c.end()
 	c.endpoint, c.instance = g.endpoint.addr, g.endpoint.instance
 	c.pools, c.bulk = g.endpoint.pools, g.isBulk(c.Rank)
 	if f := g.conf.MaxRequests; f != nil {
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -52,7 +52,6 @@
 	}
 	if c.stopBy.Load() == nil {
 		c.pending.add(a, q.nonce) // before outgoing, which then sets the end or not
-		defer c.pending.remove(a)
 	}
 	out := c.outgoing(q, a, r)
 	var mismatch error
@@ -97,6 +96,7 @@
 // ejection.
 func (c *Caller) finish(q *call, a *attempt, o route.Outcome) {
 	c.queues.release(a)
+	c.pending.remove(a)
 	if c.picker.Done(a.endpoint, o, q.rank(), a.latency, time.Now()) {
 		c.cfg.Log.Info("endpoint ejected",
 			zap.String("endpoint", string(a.endpoint.ID)),
--- a/internal/caller/connwait_test.go
+++ b/internal/caller/connwait_test.go
@@ -79,6 +79,44 @@
 	require.Equal(t, http.StatusOK, (<-answered).code)
 }
 
+// TestLostEndNotice guards against a gate that does not learn of the end of this node
+// because the first notices are lost.
+func TestLostEndNotice(t *testing.T) {
+	const lost = 2
+	release, noticed := make(chan struct{}), make(chan string, 2*lost)
+	var notices atomic.Int64
+	b := newTestCaller(t, newGate(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(mesh.WantHeader) != mesh.WantEnd {
+			w.Header().Set("Content-Length", "2")
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush() // the notices come while the body is sent
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+			_, _ = io.WriteString(w, "ok")
+			return
+		}
+		if notices.Add(1) <= lost {
+			panic(http.ErrAbortHandler)
+		}
+		calls, err := io.ReadAll(r.Body)
+		if err == nil {
+			noticed <- string(calls)
+		}
+	}))
+	answered := make(chan answer, 1)
+	go func() { answered <- b.do("GET", "/read", "") }()
+	require.Eventually(t, func() bool { return len(b.pending.byGate()) == 1 }, time.Second, time.Millisecond)
+	b.PrepareStop(time.Now().Add(5 * time.Second))
+	b.LimitPending(t.Context())
+	require.Len(t, noticed, 2)
+	require.NotEmpty(t, <-noticed)
+	close(release)
+	require.Equal(t, http.StatusOK, (<-answered).code)
+	require.Empty(t, b.pending.byGate())
+}
+
 // TestRankOrderBeyond64 guards against urgent requests that wait behind more less urgent ones
 // than a node had connections to a gate: only the gate knows which of them it runs next.
 func TestRankOrderBeyond64(t *testing.T) {
--- a/internal/caller/pending.go
+++ b/internal/caller/pending.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,10 +24,14 @@
 	// endNoticeDelay is the time until the second notice, for requests that the first
 	// one has overtaken.
 	endNoticeDelay = 150 * time.Millisecond
+	// endNoticeInterval is the time until a notice is repeated that a gate has not
+	// answered.
+	endNoticeInterval = 500 * time.Millisecond
 )
 
-// pendingAttempts holds the attempts without a response that were started before
-// PrepareStop, with the value of their mesh.CallHeader.
+// pendingAttempts holds the attempts that were started before PrepareStop and have not
+// ended, with the value of their mesh.CallHeader. An attempt ends with the last byte of its
+// response.
 type pendingAttempts struct {
 	mu    sync.Mutex
 	calls map[*attempt]string
@@ -46,6 +52,12 @@
 	delete(p.calls, a)
 }
 
+func (p *pendingAttempts) empty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.calls) == 0
+}
+
 // byGate returns the calls by the address of their gate.
 func (p *pendingAttempts) byGate() map[mesh.Addr][]string {
 	p.mu.Lock()
@@ -58,32 +70,42 @@
 }
 
 // LimitPending notifies the gates of requests that were sent before PrepareStop of the
-// end of this node. Those that are queued and cannot end before it are refused there. It
-// returns when all notices have been answered or have failed, or when ctx ends.
+// end of this node. Those that are queued and cannot end before it are refused there, and
+// the bodies of the others are sent before it. It returns when two notices in a row have
+// been answered by all gates, when these requests have ended or when ctx ends.
 func (c *Caller) LimitPending(ctx context.Context) {
 	by := c.stopBy.Load()
 	if by == nil {
 		return
 	}
-	c.noticeEnd(ctx, *by)
-	if wait.For(ctx, endNoticeDelay) == nil {
-		c.noticeEnd(ctx, *by)
+	answered := 0
+	for delay := endNoticeDelay; !c.pending.empty(); delay = endNoticeInterval {
+		if answered++; !c.noticeEnd(ctx, *by) {
+			answered = 0
+		}
+		if answered == 2 || wait.For(ctx, delay) != nil {
+			return
+		}
 	}
 }
 
-// noticeEnd sends one notice to each gate with pending attempts.
-func (c *Caller) noticeEnd(ctx context.Context, by time.Time) {
+// noticeEnd sends one notice to each gate with pending attempts. It reports whether all of
+// them answered.
+func (c *Caller) noticeEnd(ctx context.Context, by time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, endNoticeTimeout)
 	defer cancel()
 	var sent sync.WaitGroup
+	var failed atomic.Bool
 	for addr, calls := range c.pending.byGate() {
 		sent.Go(func() {
 			if err := c.sendEndNotice(ctx, addr, by, calls); err != nil {
+				failed.Store(true)
 				c.cfg.Log.Info("failed to notify a gate of the end of this node", zap.String("gate", string(addr)), zap.Error(err))
 			}
 		})
 	}
 	sent.Wait()
+	return !failed.Load()
 }
 
 func (c *Caller) sendEndNotice(ctx context.Context, addr mesh.Addr, by time.Time, calls []string) error {
@@ -103,5 +125,9 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
 }
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -164,7 +164,7 @@
 	flush := hop.IsStreaming(a.resp)
 	for {
 		if q.route.Policy.Bulk {
-			a.resp.Body = c.cfg.Pacer.PaceBody(a.resp.Body, a.resp.ContentLength)
+			a.resp.Body = c.cfg.Pacer.PaceBody(q.ctx, a.resp.Body, hop.Transfer{Length: a.resp.ContentLength, Deadline: q.deadline})
 		}
 		n, err := hop.CopyBody(q.w, a.resp.Body, flush)
 		res.offset += n
--- a/internal/hop/pace.go
+++ b/internal/hop/pace.go
@@ -1,34 +1,33 @@
 package hop
 
 import (
+	"context"
 	"io"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-	"golang.org/x/time/rate"
+
+	"lavenderrill.dev/lavenderrill/internal/core/link"
 )
 
 const (
-	// pacedLinkShare is the share of the link rate that paced bodies may use. The
-	// rest keeps the queue of the link short for other responses, which would
-	// otherwise wait behind whole downloads.
-	pacedLinkShare = 0.9
 	// paceChunkSize is the largest number of bytes read at a time.
 	paceChunkSize = 16 << 10
 	// maxPaceMicros is the longest wait that a Pacer records.
 	maxPaceMicros = int64(5 * time.Minute / time.Microsecond)
 )
 
-// Pacer limits the rate of bulk bodies on a link that all responses share. A nil
-// Pacer sets no limit. It is safe for concurrent use.
+// Pacer passes bulk bodies on at the rate of a link that all bodies share, in the order
+// of a link.Scheduler. A nil Pacer sets no limit. It is safe for concurrent use.
 type Pacer struct {
-	limiter *rate.Limiter
-
 	mu     sync.Mutex // guards the fields below
-	bodies map[*pacedBody]struct{}
+	sched  *link.Scheduler
+	timer  *time.Timer // runs dispatch when the link is free; nil before the first wait
+	bodies map[*link.Body]*pacedBody
 	waits  *hdrhistogram.Histogram // microseconds, one value for each body
 }
 
@@ -39,36 +38,94 @@
 		return nil
 	}
 	return &Pacer{
-		limiter: rate.NewLimiter(rate.Limit(pacedLinkShare*linkRate), 2*paceChunkSize),
-		bodies:  make(map[*pacedBody]struct{}),
-		waits:   hdrhistogram.New(1, maxPaceMicros, 2),
+		sched:  link.New(link.Config{Rate: link.Rate(linkRate)}),
+		bodies: make(map[*link.Body]*pacedBody),
+		waits:  hdrhistogram.New(1, maxPaceMicros, 2),
 	}
 }
 
-// RemoveLimit removes the rate limit when the node stops: the remaining bytes
-// must be sent within the grace time.
-func (p *Pacer) RemoveLimit() {
-	if p != nil {
-		p.limiter.SetLimit(rate.Inf)
+// StopAt sets the time at which this node stops. All bodies, present and later ones, get
+// the whole link, and are sent before end if the link can carry them.
+func (p *Pacer) StopAt(end time.Time) {
+	if p == nil {
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sched.StopAt(end)
+	p.dispatch()
+}
+
+// Transfer describes a body that uses a link.
+type Transfer struct {
+	Length   int64     // in bytes; -1 if it is not known
+	Deadline time.Time // latest useful time of the last byte; zero means none
 }
 
-// PaceBody returns a body of the given length that reads from b at the rate of p, which
-// all such bodies share. The length is -1 if it is not known. The body must be closed.
-func (p *Pacer) PaceBody(b io.ReadCloser, length int64) io.ReadCloser {
+// PaceBody returns a body that reads from b as fast as p allows, which all such bodies
+// share. Reads fail with the error of ctx once that ends. The body must be closed, or
+// released with ReleaseLink.
+func (p *Pacer) PaceBody(ctx context.Context, b io.ReadCloser, t Transfer) io.ReadCloser {
 	if p == nil {
 		return b
 	}
 	if _, small := b.(*pooledBody); small {
 		return b
 	}
-	body := &pacedBody{ReadCloser: b, pacer: p, usage: LinkUsage{Length: length}}
+	body := &pacedBody{
+		ReadCloser: b,
+		ctx:        ctx,
+		pacer:      p,
+		body:       link.Body{Length: max(link.Bytes(t.Length), link.UnknownLength), Deadline: t.Deadline},
+		granted:    make(chan struct{}, 1),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bodies[body] = struct{}{}
+	p.bodies[&body.body] = body
+	p.sched.Add(&body.body)
 	return body
 }
 
+// LimitEnd sets the time at which a process that sends or receives b stops. It has no
+// effect if b is not paced.
+func LimitEnd(b io.ReadCloser, end time.Time) {
+	body, ok := b.(*pacedBody)
+	if !ok {
+		return
+	}
+	p := body.pacer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sched.LimitEnd(&body.body, end)
+	p.dispatch()
+}
+
+// dispatch lets bodies read on as far as the link has capacity, and sets the timer for the
+// next time. p.mu must be held.
+func (p *Pacer) dispatch() {
+	now := time.Now()
+	for {
+		b, next := p.sched.Next(now)
+		switch {
+		case b != nil:
+			p.bodies[b].granted <- struct{}{}
+			continue
+		case next.IsZero():
+		case p.timer == nil:
+			p.timer = time.AfterFunc(next.Sub(now), p.dispatchLater)
+		default:
+			p.timer.Reset(next.Sub(now))
+		}
+		return
+	}
+}
+
+func (p *Pacer) dispatchLater() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
+
 // PacerStatus is a snapshot of the state of a Pacer.
 type PacerStatus struct {
 	Bodies int   // bodies that are being sent
@@ -84,7 +141,9 @@
 	defer p.mu.Unlock()
 	s := PacerStatus{Bodies: len(p.bodies)}
 	for b := range p.bodies {
-		s.Bytes += max(b.usage.Length-b.usage.Sent, 0)
+		if b.Length >= 0 {
+			s.Bytes += int64(b.Left())
+		}
 	}
 	return s
 }
@@ -128,7 +187,7 @@
 	}
 	p.pacer.mu.Lock()
 	defer p.pacer.mu.Unlock()
-	return p.usage, true
+	return LinkUsage{Length: int64(p.body.Length), Sent: int64(p.body.Sent()), Wait: p.wait}, true
 }
 
 // LinkField returns the log field "link" with the use of the link by b, or a field that is
@@ -143,38 +202,76 @@
 
 type pacedBody struct {
 	io.ReadCloser
-	pacer *Pacer
-	usage LinkUsage // guarded by pacer.mu
+	ctx     context.Context // of the request; Read has no parameter for it
+	pacer   *Pacer
+	granted chan struct{} // receives one value for each chunk that may be passed on; closed by release
+
+	// The fields below are guarded by pacer.mu.
+	body link.Body
+	wait time.Duration
 }
 
-// Read reads a chunk and waits until the link has capacity for it. The wait does
-// not end early at a deadline; the wrapped body enforces it.
+// Read reads a chunk and waits until the link has capacity for it.
 func (b *pacedBody) Read(dst []byte) (int, error) {
 	n, err := b.ReadCloser.Read(dst[:min(len(dst), paceChunkSize)])
 	if n > 0 {
-		d := b.pacer.limiter.ReserveN(time.Now(), n).Delay()
-		time.Sleep(d)
-		b.pacer.mu.Lock()
-		b.usage.Sent += int64(n)
-		b.usage.Wait += d
-		b.pacer.mu.Unlock()
+		if err := b.awaitLink(link.Bytes(n)); err != nil {
+			return 0, err
+		}
+	} else if err != nil {
+		b.release()
 	}
 	return n, err
 }
 
+// awaitLink waits until the link has capacity for n bytes of b.
+func (b *pacedBody) awaitLink(n link.Bytes) error {
+	p, began := b.pacer, time.Now()
+	p.mu.Lock()
+	if _, open := p.bodies[&b.body]; !open {
+		p.mu.Unlock()
+		return net.ErrClosed
+	}
+	p.sched.Wait(&b.body, n)
+	p.dispatch()
+	p.mu.Unlock()
+	var err error
+	select {
+	case _, open := <-b.granted:
+		if !open {
+			err = net.ErrClosed
+		}
+	case <-b.ctx.Done():
+		err = b.ctx.Err()
+	}
+	p.mu.Lock()
+	b.wait += time.Since(began)
+	p.mu.Unlock()
+	if err != nil {
+		b.release()
+	}
+	return err
+}
+
 // Close ends the use of the link by b. Further calls have no effect on it.
 func (b *pacedBody) Close() error {
 	b.release()
 	return b.ReadCloser.Close()
 }
 
+// release ends the use of the link by b, so that what it waits for is free for others.
 func (b *pacedBody) release() {
-	b.pacer.mu.Lock()
-	defer b.pacer.mu.Unlock()
-	if _, open := b.pacer.bodies[b]; open {
-		delete(b.pacer.bodies, b)
-		_ = b.pacer.waits.RecordValue(min(max(b.usage.Wait.Microseconds(), 1), maxPaceMicros)) // in range
+	p := b.pacer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, open := p.bodies[&b.body]; !open {
+		return
 	}
+	delete(p.bodies, &b.body)
+	p.sched.Remove(&b.body)
+	close(b.granted)
+	_ = p.waits.RecordValue(min(max(b.wait.Microseconds(), 1), maxPaceMicros)) // in range
+	p.dispatch()
 }
 
 // ReleaseLink ends the use of the link by b without closing b. It has no effect if b is
--- a/internal/hop/pace_test.go
+++ b/internal/hop/pace_test.go
@@ -23,7 +23,7 @@
 		ended := make(chan error, 2)
 		for range 2 {
 			go func() {
-				got, err := io.ReadAll(p.PaceBody(io.NopCloser(bytes.NewReader(want)), int64(len(want))))
+				got, err := io.ReadAll(p.PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: int64(len(want))}))
 				if err == nil && !bytes.Equal(got, want) {
 					err = io.ErrUnexpectedEOF
 				}
@@ -33,34 +33,34 @@
 		require.NoError(t, <-ended)
 		require.NoError(t, <-ended)
 		took := time.Since(begin)
-		require.InDelta(t, 1/pacedLinkShare, took.Seconds(), 0.1)
+		require.InDelta(t, 1/0.9, took.Seconds(), 0.1)
 
 		go func() {
-			_, err := io.ReadAll(p.PaceBody(io.NopCloser(bytes.NewReader(want)), int64(len(want))))
+			_, err := io.ReadAll(p.PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: int64(len(want))}))
 			ended <- err
 		}()
 		time.Sleep(100 * time.Millisecond)
 		begin = time.Now()
-		p.RemoveLimit()
+		p.StopAt(begin.Add(50 * time.Millisecond)) // the link carries a tenth of the rest by then
 		require.NoError(t, <-ended)
-		require.Less(t, time.Since(begin), 100*time.Millisecond, "after the release")
+		require.Less(t, time.Since(begin), 100*time.Millisecond, "after the stop")
 
 		begin = time.Now()
-		_, err := io.ReadAll(NewPacer(0).PaceBody(io.NopCloser(bytes.NewReader(want)), int64(len(want))))
+		_, err := io.ReadAll(NewPacer(0).PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: int64(len(want))}))
 		require.NoError(t, err)
 		require.Equal(t, begin, time.Now())
 	})
 }
 
-// link simulates a network interface that sends in order at a fixed rate.
-type link struct {
+// simulatedLink simulates a network interface that sends in order at a fixed rate.
+type simulatedLink struct {
 	mu   sync.Mutex
 	rate float64 // bytes per second
 	free time.Time
 }
 
 // send queues n bytes and returns the time at which they will have been sent.
-func (l *link) send(n int) time.Time {
+func (l *simulatedLink) send(n int) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := time.Now(); l.free.Before(now) {
@@ -77,7 +77,7 @@
 func TestPacedLink(t *testing.T) {
 	slowest := func(paced bool) (small, download time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
-			l := &link{rate: 10.5e6 / 8}
+			l := &simulatedLink{rate: 10.5e6 / 8}
 			var p *Pacer
 			if paced {
 				p = NewPacer(l.rate)
@@ -87,7 +87,7 @@
 				go func() {
 					time.Sleep(time.Duration(i) * 100 * time.Millisecond)
 					begin, last := time.Now(), time.Time{}
-					body := p.PaceBody(io.NopCloser(bytes.NewReader(make([]byte, 300_000))), 300_000)
+					body := p.PaceBody(t.Context(), io.NopCloser(bytes.NewReader(make([]byte, 300_000))), Transfer{Length: 300_000})
 					part := make([]byte, 32<<10)
 					for {
 						n, err := body.Read(part)
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/member"
+	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/internal/wait"
 )
 
@@ -24,6 +25,9 @@
 	// stopReserve is the part of the grace time that is reserved for leaving the mesh
 	// and for the end of the process.
 	stopReserve = 800 * time.Millisecond
+	// sendMargin is the time before the end of the node at which the last byte of a body
+	// is passed on, so that it still reaches its receiver.
+	sendMargin = 300 * time.Millisecond
 	// leaveTimeout bounds the notification of the other nodes and the store.
 	leaveTimeout = 250 * time.Millisecond
 )
@@ -33,28 +37,34 @@
 // the start, so that those in flight end within the grace time.
 func (n *Node) stop() error {
 	n.stopping.Store(true)
-	n.pacer.RemoveLimit()
 	n.source.notifyWaiters() // nodes that follow this one switch to another watcher
 	set := n.nodeSettings.Load()
 	n.log.Info("node stops", zap.Duration("grace", set.Grace))
 	ctx, cancel := context.WithTimeout(context.Background(), set.Grace-stopReserve)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
+	for _, p := range []*hop.Pacer{n.pacer, n.requestPacer} {
+		p.StopAt(deadline.Add(-sendMargin))
+	}
 	n.caller.PrepareStop(deadline)
 	n.gate.StopAt(deadline)
 	drainTime, serveTime := min(callerDrainTime, set.Grace/2), min(gateServeTime, set.Grace/4)
-	limited := make(chan struct{})
+	noticeCtx, cancelNotices := context.WithCancel(ctx)
+	defer cancelNotices()
+	notified := make(chan struct{})
 	go func() {
-		defer close(limited)
-		n.caller.LimitPending(ctx)
+		defer close(notified)
+		n.caller.LimitPending(noticeCtx)
 	}()
 	errs := []error{wait.For(ctx, serveTime)}
-	<-limited
 	// The backend server may keep running. While callers switch to other nodes and
 	// their last requests end, its capacity serves requests for which no other endpoint
 	// is left.
 	n.gate.Yield(deadline)
-	errs = append(errs, wait.For(ctx, drainTime-serveTime), n.caller.StopServing(ctx, restartRetryAfter), n.gate.Drain(ctx))
+	errs = append(errs, wait.For(ctx, drainTime-serveTime), n.caller.StopServing(ctx, restartRetryAfter))
+	cancelNotices()
+	<-notified
+	errs = append(errs, n.gate.Drain(ctx))
 	if err := errors.Join(errs...); err != nil {
 		n.metrics.InvariantBroken("stop_interrupted")
 		n.log.Error("requests in flight exceeded the grace time and are interrupted", zap.Error(err))
