Use the types of the link for lengths and rates of bodies

Cause: the new code of the pacing passed bytes and bytes per second as bare numbers, beside the named types that internal/core/link has for them.

Change: hop.Transfer, hop.LinkUsage, hop.PacerStatus and hop.NewPacer use link.Bytes and link.Rate. A rate that is not a number counts as unknown.

Measured: no change of behaviour; the tests of the link in internal/hop, internal/backend and internal/caller pass.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/link"
 	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/pkg/config"
 )
@@ -60,7 +61,7 @@
 func (g *Gate) paceBody(ctx context.Context, c *call, p *hop.Pacer, body io.ReadCloser, length int64) io.ReadCloser {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	paced := p.PaceBody(ctx, body, hop.Transfer{Length: length, Deadline: c.Deadline})
+	paced := p.PaceBody(ctx, body, hop.Transfer{Length: link.Bytes(length), Deadline: c.Deadline})
 	// Nodes of earlier versions that stop only set the time of admission.
 	if end := cmp.Or(c.end(), c.AdmitBy); !end.IsZero() {
 		hop.LimitEnd(paced, end)
--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/link"
 	"lavenderrill.dev/lavenderrill/internal/core/route"
 	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/pkg/mesh"
@@ -164,7 +165,7 @@
 	flush := hop.IsStreaming(a.resp)
 	for {
 		if q.route.Policy.Bulk {
-			a.resp.Body = c.cfg.Pacer.PaceBody(q.ctx, a.resp.Body, hop.Transfer{Length: a.resp.ContentLength, Deadline: q.deadline})
+			a.resp.Body = c.cfg.Pacer.PaceBody(q.ctx, a.resp.Body, hop.Transfer{Length: link.Bytes(a.resp.ContentLength), Deadline: q.deadline})
 		}
 		n, err := hop.CopyBody(q.w, a.resp.Body, flush)
 		res.offset += n
--- a/internal/hop/pace.go
+++ b/internal/hop/pace.go
@@ -31,14 +31,13 @@
 	waits  *hdrhistogram.Histogram // microseconds, one value for each body
 }
 
-// NewPacer returns a Pacer for a link of the given rate in bytes per second, or
-// nil if the rate is not known.
-func NewPacer(linkRate float64) *Pacer {
-	if linkRate <= 0 {
+// NewPacer returns a Pacer for a link of the given rate, or nil if the rate is not known.
+func NewPacer(linkRate link.Rate) *Pacer {
+	if !(linkRate > 0) {
 		return nil
 	}
 	return &Pacer{
-		sched:  link.New(link.Config{Rate: link.Rate(linkRate)}),
+		sched:  link.New(link.Config{Rate: linkRate}),
 		bodies: make(map[*link.Body]*pacedBody),
 		waits:  hdrhistogram.New(1, maxPaceMicros, 2),
 	}
@@ -58,8 +57,8 @@
 
 // Transfer describes a body that uses a link.
 type Transfer struct {
-	Length   int64     // in bytes; -1 if it is not known
-	Deadline time.Time // latest useful time of the last byte; zero means none
+	Length   link.Bytes // or link.UnknownLength
+	Deadline time.Time  // latest useful time of the last byte; zero means none
 }
 
 // PaceBody returns a body that reads from b as fast as p allows, which all such bodies
@@ -76,7 +75,7 @@
 		ReadCloser: b,
 		ctx:        ctx,
 		pacer:      p,
-		body:       link.Body{Length: max(link.Bytes(t.Length), link.UnknownLength), Deadline: t.Deadline},
+		body:       link.Body{Length: max(t.Length, link.UnknownLength), Deadline: t.Deadline},
 		granted:    make(chan struct{}, 1),
 	}
 	p.mu.Lock()
@@ -128,8 +127,8 @@
 
 // PacerStatus is a snapshot of the state of a Pacer.
 type PacerStatus struct {
-	Bodies int   // bodies that are being sent
-	Bytes  int64 // bytes of these bodies, as far as their length is known, that wait for the link
+	Bodies int        // bodies that are being sent
+	Bytes  link.Bytes // of these bodies, as far as their length is known, that wait for the link
 }
 
 // Status returns the current status of p.
@@ -142,7 +141,7 @@
 	s := PacerStatus{Bodies: len(p.bodies)}
 	for b := range p.bodies {
 		if b.Length >= 0 {
-			s.Bytes += int64(b.Left())
+			s.Bytes += b.Left()
 		}
 	}
 	return s
@@ -166,15 +165,15 @@
 
 // LinkUsage describes how a paced body uses the link.
 type LinkUsage struct {
-	Length int64         // -1 if it is not known
-	Sent   int64         // bytes for which the link had capacity
+	Length link.Bytes    // or link.UnknownLength
+	Sent   link.Bytes    // for which the link had capacity
 	Wait   time.Duration // for the link, without the wait that is going on
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (u LinkUsage) MarshalLogObject(enc zapcore.ObjectEncoder) error {
-	enc.AddInt64("length", u.Length)
-	enc.AddInt64("sent", u.Sent)
+	enc.AddInt64("length", int64(u.Length))
+	enc.AddInt64("sent", int64(u.Sent))
 	enc.AddDuration("wait", u.Wait)
 	return nil
 }
@@ -187,7 +186,7 @@
 	}
 	p.pacer.mu.Lock()
 	defer p.pacer.mu.Unlock()
-	return LinkUsage{Length: int64(p.body.Length), Sent: int64(p.body.Sent()), Wait: p.wait}, true
+	return LinkUsage{Length: p.body.Length, Sent: p.body.Sent(), Wait: p.wait}, true
 }
 
 // LinkField returns the log field "link" with the use of the link by b, or a field that is
--- a/internal/hop/pace_test.go
+++ b/internal/hop/pace_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lavenderrill.dev/lavenderrill/internal/core/link"
 )
 
 // TestPacer guards against concurrent downloads that together exceed the share of
@@ -16,14 +18,14 @@
 // and against pacing when the rate of the link is not known.
 func TestPacer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const link = 1 << 20 // bytes per second
-		p := NewPacer(link)
+		const rate = 1 << 20 // bytes per second
+		p := NewPacer(rate)
 		want := bytes.Repeat([]byte("0123456789abcdef"), 32<<10) // takes half a second at the link rate
 		begin := time.Now()
 		ended := make(chan error, 2)
 		for range 2 {
 			go func() {
-				got, err := io.ReadAll(p.PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: int64(len(want))}))
+				got, err := io.ReadAll(p.PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: link.Bytes(len(want))}))
 				if err == nil && !bytes.Equal(got, want) {
 					err = io.ErrUnexpectedEOF
 				}
@@ -36,7 +38,7 @@
 		require.InDelta(t, 1/0.9, took.Seconds(), 0.1)
 
 		go func() {
-			_, err := io.ReadAll(p.PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: int64(len(want))}))
+			_, err := io.ReadAll(p.PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: link.Bytes(len(want))}))
 			ended <- err
 		}()
 		time.Sleep(100 * time.Millisecond)
@@ -46,7 +48,7 @@
 		require.Less(t, time.Since(begin), 100*time.Millisecond, "after the stop")
 
 		begin = time.Now()
-		_, err := io.ReadAll(NewPacer(0).PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: int64(len(want))}))
+		_, err := io.ReadAll(NewPacer(0).PaceBody(t.Context(), io.NopCloser(bytes.NewReader(want)), Transfer{Length: link.Bytes(len(want))}))
 		require.NoError(t, err)
 		require.Equal(t, begin, time.Now())
 	})
@@ -80,7 +82,7 @@
 			l := &simulatedLink{rate: 10.5e6 / 8}
 			var p *Pacer
 			if paced {
-				p = NewPacer(l.rate)
+				p = NewPacer(link.Rate(l.rate))
 			}
 			ended := make(chan time.Duration)
 			for i := range 10 {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -18,6 +18,7 @@
 	"lavenderrill.dev/lavenderrill/internal/core/admit"
 	"lavenderrill.dev/lavenderrill/internal/core/demand"
 	"lavenderrill.dev/lavenderrill/internal/core/fault"
+	"lavenderrill.dev/lavenderrill/internal/core/link"
 	"lavenderrill.dev/lavenderrill/internal/core/member"
 	"lavenderrill.dev/lavenderrill/internal/hop"
 	"lavenderrill.dev/lavenderrill/internal/metric"
@@ -184,7 +185,8 @@
 		isWatcher:     func() bool { return !n.stopping.Load() && n.peer.Watcher() },
 		joinAttempted: func() <-chan struct{} { return n.peer.JoinAttempted() },
 	})
-	n.pacer, n.requestPacer = hop.NewPacer(set.LinkRate), hop.NewPacer(set.LinkRate)
+	rate := link.Rate(set.LinkRate)
+	n.pacer, n.requestPacer = hop.NewPacer(rate), hop.NewPacer(rate)
 	n.registerLinkGauges()
 	n.gate = n.newGate()
 	n.rollouts = n.newNodeRollouts()
