--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -131,8 +131,8 @@
 	machine  *admit.Machine
 	snapshot *config.Snapshot // configuration whose rank policies were last applied to machine
 	endpoint backendServer
-	held     []heldSlot // slots of requests without a response
-	active   map[*call]struct{}
+	held     []heldSlot         // slots of requests without a response
+	active   map[*call]struct{} // calls whose handler runs
 	unserved demand.Unserved
 	stopping bool // Drain was called
 	yielding bool // Yield was called
