Share the set-up of the tests of end notices

Cause: TestLostEndNotice repeated nine lines of TestEndNoticeWithoutConnection.

Change: requireEndNotices holds them.

--- a/internal/caller/connwait_test.go
+++ b/internal/caller/connwait_test.go
@@ -68,15 +68,7 @@
 		}
 	}))
 	b.queues.limit = func() int { return 1 }
-	answered := make(chan answer, 1)
-	go func() { answered <- b.do("GET", "/read", "") }()
-	require.Eventually(t, func() bool { return len(b.pending.byGate()) == 1 }, time.Second, time.Millisecond)
-	b.PrepareStop(time.Now().Add(5 * time.Second))
-	b.LimitPending(t.Context())
-	require.Len(t, noticed, 2)
-	require.NotEmpty(t, <-noticed)
-	close(release)
-	require.Equal(t, http.StatusOK, (<-answered).code)
+	requireEndNotices(t, b, noticed, release)
 }
 
 // TestLostEndNotice guards against a gate that does not learn of the end of this node
@@ -105,6 +97,14 @@
 			noticed <- string(calls)
 		}
 	}))
+	requireEndNotices(t, b, noticed, release)
+	require.Empty(t, b.pending.byGate())
+}
+
+// requireEndNotices stops b while it has a request, which ends after release, and fails t
+// unless the gate of the request reports two notices of the end to noticed.
+func requireEndNotices(t *testing.T, b *testCaller, noticed <-chan string, release chan<- struct{}) {
+	t.Helper()
 	answered := make(chan answer, 1)
 	go func() { answered <- b.do("GET", "/read", "") }()
 	require.Eventually(t, func() bool { return len(b.pending.byGate()) == 1 }, time.Second, time.Millisecond)
@@ -114,7 +114,6 @@
 	require.NotEmpty(t, <-noticed)
 	close(release)
 	require.Equal(t, http.StatusOK, (<-answered).code)
-	require.Empty(t, b.pending.byGate())
 }
 
 // TestRankOrderBeyond64 guards against urgent requests that wait behind more less urgent ones
